Find turns by an index of their own; spread chains by recent work

Change: settle writes an index row (turn to program) in the same transaction; the cache finds turns by id alone. First turns go by recent prefill work, no longer by the first part's hash.

--- a/src/core/turns/cache.rs
+++ b/src/core/turns/cache.rs
@@ -19,7 +19,7 @@
 
 #[derive(Debug, Default)]
 struct CachedProgram {
-    turns: HashMap<TurnId, Rc<TurnRecord>>,
+    turns: Vec<TurnId>,
     ledger: Option<(RowVersion, ProgramLedger)>,
     bytes: usize,
     used: u64,
@@ -28,6 +28,8 @@
 /// A bounded cache of programs; the least recently used ones yield.
 #[derive(Debug)]
 pub struct TurnCache {
+    /// By turn alone: a program may go on from a turn of another one.
+    turns: HashMap<TurnId, Rc<TurnRecord>>,
     programs: HashMap<ProgramName, CachedProgram>,
     /// Programs by last use.
     order: BTreeMap<u64, ProgramName>,
@@ -42,6 +44,7 @@
 impl TurnCache {
     pub fn new(max_bytes: usize) -> Self {
         Self {
+            turns: HashMap::new(),
             programs: HashMap::new(),
             order: BTreeMap::new(),
             bytes: 0,
@@ -51,15 +54,11 @@
     }
 
     /// The chain that ends with `turn`.
-    pub fn chain(&mut self, program: &str, turn: &TurnId) -> ChainLookup {
-        self.touch(program);
-        let Some(cached) = self.programs.get(program) else {
-            return ChainLookup::Missing(turn.clone());
-        };
+    pub fn chain(&self, turn: &TurnId) -> ChainLookup {
         let mut chain = Vec::new();
         let mut next = Some(turn.clone());
         while let Some(id) = next {
-            let Some(record) = cached.turns.get(&id) else { return ChainLookup::Missing(id) };
+            let Some(record) = self.turns.get(&id) else { return ChainLookup::Missing(id) };
             chain.push(record.clone());
             next = record.previous.clone();
         }
@@ -67,11 +66,12 @@
         ChainLookup::Whole(chain)
     }
 
-    /// Adds a turn.
+    /// Adds a turn that `program` made.
     pub fn insert(&mut self, program: &ProgramName, turn: TurnId, record: Rc<TurnRecord>) {
-        let cached = self.programs.entry(program.clone()).or_default();
         let size = record.bytes() + ENTRY_OVERHEAD;
-        if cached.turns.insert(turn, record).is_none() {
+        if self.turns.insert(turn.clone(), record).is_none() {
+            let cached = self.programs.entry(program.clone()).or_default();
+            cached.turns.push(turn);
             cached.bytes += size;
             self.bytes += size;
         }
@@ -85,7 +85,12 @@
     }
 
     /// Notes the ledger's newest known state; an older one changes nothing.
-    pub fn set_ledger(&mut self, program: &ProgramName, version: RowVersion, ledger: ProgramLedger) {
+    pub fn set_ledger(
+        &mut self,
+        program: &ProgramName,
+        version: RowVersion,
+        ledger: ProgramLedger,
+    ) {
         let cached = self.programs.entry(program.clone()).or_default();
         if cached.ledger.as_ref().is_none_or(|(known, _)| *known <= version) {
             cached.ledger = Some((version, ledger));
@@ -98,7 +103,8 @@
         self.bytes
     }
 
-    fn touch(&mut self, program: &str) {
+    /// Notes a use of a program, so that it yields later.
+    pub fn touch(&mut self, program: &str) {
         let Some(cached) = self.programs.get_mut(program) else { return };
         self.uses += 1;
         self.order.remove(&cached.used);
@@ -109,8 +115,10 @@
     fn evict(&mut self) {
         while self.bytes > self.max_bytes && self.order.len() > 1 {
             let Some((_, program)) = self.order.pop_first() else { return };
-            if let Some(cached) = self.programs.remove(&program) {
-                self.bytes -= cached.bytes;
+            let Some(cached) = self.programs.remove(&program) else { continue };
+            self.bytes -= cached.bytes;
+            for turn in cached.turns {
+                self.turns.remove(&turn);
             }
         }
     }
--- a/src/core/turns/record.rs
+++ b/src/core/turns/record.rs
@@ -6,7 +6,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use super::TurnId;
+use super::{ProgramName, TurnId};
 use crate::core::ids::UpstreamId;
 
 /// What a caller sent and what the engine answered. It never changes once it is written.
@@ -14,6 +14,8 @@
 pub struct TurnRecord {
     /// The turn it continues from; none at the start of a chain.
     pub previous: Option<TurnId>,
+    /// The program that made that turn, where it is another one than this turn's.
+    pub origin: Option<ProgramName>,
     /// The engine that ran it and so holds the chain in its memory.
     pub upstream: UpstreamId,
     /// The caller's new input.
@@ -27,6 +29,8 @@
 struct RecordHead {
     #[serde(rename = "p", default, skip_serializing_if = "Option::is_none")]
     previous: Option<TurnId>,
+    #[serde(rename = "o", default, skip_serializing_if = "Option::is_none")]
+    origin: Option<ProgramName>,
     #[serde(rename = "u")]
     upstream: UpstreamId,
     #[serde(rename = "i")]
@@ -45,6 +49,7 @@
     pub fn encode(&self) -> Bytes {
         let head = RecordHead {
             previous: self.previous.clone(),
+            origin: self.origin.clone(),
             upstream: self.upstream.clone(),
             input: self.input.len(),
         };
@@ -69,6 +74,7 @@
         }
         Ok(Self {
             previous: head.previous,
+            origin: head.origin,
             upstream: head.upstream,
             input: body.slice(..head.input),
             output: body.slice(head.input..),
--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -9,14 +9,20 @@
 
 /// Prompt tokens an engine reads in a millisecond; measured on the users' engines (32.4), rounded.
 const PREFILL_TOKENS_PER_MS: f64 = 32.0;
+/// Weight of reading a prompt anew against waiting: it also delays all others at that engine.
+const MOVE_FACTOR: f64 = 2.0;
+/// Tokens of new input that the engine of the turn before reads; a usual turn's.
+const NEW_INPUT_TOKENS: u64 = 1_000;
 /// Delay that each request of this instance at an engine adds, in milliseconds: others' prompts
 /// are read between its tokens.
 const RUNNING_COST_MS: f64 = 3.0;
 /// What an upstream in another zone costs, in milliseconds: the longer way and the priced bytes.
 const FAR_COST_MS: f64 = 30.0;
-/// Difference between one upstream and the next in a key's order, in milliseconds. It gathers
-/// requests that begin alike on the same engines of all instances, and yields to load.
+/// Difference between one upstream and the next in an object's order, in milliseconds. It gathers
+/// the requests about an object on the same upstreams of all instances, and yields to load.
 const ORDER_COST_MS: f64 = 6.0;
+/// Difference that chance makes between upstreams that cost the same, in milliseconds.
+const CHANCE_COST_MS: f64 = 2.0;
 /// What an upstream that failed lately costs: it is taken only where there is no other.
 const ASIDE_COST_MS: f64 = 10_000.0;
 /// Usual time of a request apart from its prompt, in milliseconds; a slow upstream multiplies it.
@@ -50,6 +56,8 @@
     pub candidates: usize,
     /// Attempts of this instance under way there.
     pub running: u32,
+    /// Time the upstream is expected to read the prompt, in milliseconds.
+    pub prefill_ms: f64,
 }
 
 impl UpstreamTable {
@@ -68,14 +76,15 @@
             cost_ms,
             candidates: ranked.len(),
             running: known.health.running,
+            prefill_ms: self.prefill_ms(known, request),
         })
     }
 
-    /// Candidates in the order of the request's key, which is the same on every instance.
+    /// Candidates in the order of the request's object, which is the same on every instance, or
+    /// by chance.
     fn ranked<'a>(&'a self, request: &ChoiceRequest<'_>) -> Vec<&'a TrackedUpstream> {
-        let key = request.parts.first().map(|part| &*part.part).or(request.affinity);
-        let salt = if key.is_some() { 0 } else { request.salt };
-        let key = key.unwrap_or_default();
+        let key = request.affinity.unwrap_or_default();
+        let salt = if request.affinity.is_some() { 0 } else { request.salt };
         let usable = self.upstreams.values().filter(|known| {
             *known.entry.service == *request.service
                 && known.entry.state == UpstreamState::Ready
@@ -91,9 +100,11 @@
 
     fn cost(&self, known: &TrackedUpstream, rank: usize, request: &ChoiceRequest<'_>) -> f64 {
         let entry = &known.entry;
-        let mut cost = rank as f64 * ORDER_COST_MS;
+        let step = if request.affinity.is_some() { ORDER_COST_MS } else { CHANCE_COST_MS / 16.0 };
+        let mut cost = rank as f64 * step;
         cost += f64::from(known.health.running) * RUNNING_COST_MS;
-        cost += self.missing_tokens(known, request) / PREFILL_TOKENS_PER_MS;
+        cost += known.work.at(request.now);
+        cost += self.prefill_ms(known, request) * MOVE_FACTOR;
         cost += (known.health.pace() - 1.0).max(0.0) * WORK_COST_MS;
         cost += entry.warming.as_millis() as f64 / 10.0;
         if *entry.zone != *request.zone {
@@ -105,18 +116,19 @@
         cost
     }
 
-    /// Tokens of the prompt that the upstream is not known to hold.
+    /// Time to read what of the prompt the upstream is not known to hold, in milliseconds.
     ///
     /// A part counts only if all parts before it are held too; the engine that ran the turn before
     /// holds all but the new input.
-    fn missing_tokens(&self, known: &TrackedUpstream, request: &ChoiceRequest<'_>) -> f64 {
+    fn prefill_ms(&self, known: &TrackedUpstream, request: &ChoiceRequest<'_>) -> f64 {
         if request.holder == Some(&known.entry.id) {
-            return 0.0;
+            let last = request.parts.last().map_or(0, |part| part.tokens);
+            return last.min(NEW_INPUT_TOKENS) as f64 / PREFILL_TOKENS_PER_MS;
         }
         let held = request.parts.iter().take_while(|part| {
             self.resident.get(&part.part).is_some_and(|ids| ids.contains(&known.entry.id))
         });
         let missing = request.parts.iter().skip(held.count()).map(|part| part.tokens);
-        missing.sum::<u64>() as f64
+        missing.sum::<u64>() as f64 / PREFILL_TOKENS_PER_MS
     }
 }
--- a/src/core/upstreams/health.rs
+++ b/src/core/upstreams/health.rs
@@ -42,6 +42,31 @@
     pace: Option<f64>,
 }
 
+/// Work given to an upstream lately, fading with time: a rate, without counting it anew.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct RecentWork {
+    millis: f64,
+    at: Option<Instant>,
+}
+
+/// Time in which noted work fades to 1/e: some ten turns of an instance, and short against the
+/// seconds in which load moves.
+const WORK_FADE: Duration = Duration::from_secs(1);
+
+impl RecentWork {
+    /// Work of the last second or so, in milliseconds.
+    pub fn at(&self, now: Instant) -> f64 {
+        let Some(at) = self.at else { return 0.0 };
+        let age = now.saturating_duration_since(at).as_secs_f64() / WORK_FADE.as_secs_f64();
+        self.millis * (-age).exp()
+    }
+
+    pub fn add(&mut self, millis: f64, now: Instant) {
+        self.millis = self.at(now) + millis;
+        self.at = Some(now);
+    }
+}
+
 impl UpstreamHealth {
     pub fn record(&mut self, result: AttemptResult, now: Instant) {
         match result {
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -12,7 +12,7 @@
 use crate::core::routing::ServiceName;
 
 pub use choice::{ChoiceRequest, UpstreamChoice};
-pub use health::{AttemptResult, UpstreamHealth};
+pub use health::{AttemptResult, RecentWork, UpstreamHealth};
 pub use table::{ListNews, UpstreamTable};
 
 /// Name of a part of a prompt; requests whose prompts begin alike name the same parts.
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use super::{AttemptResult, PartId, UpstreamEntry, UpstreamHealth, UpstreamState};
+use super::{AttemptResult, PartId, RecentWork, UpstreamEntry, UpstreamHealth, UpstreamState};
 use crate::core::ids::UpstreamId;
 
 /// Entries that lapse while the store is away return within about two seconds of its return; the
@@ -25,6 +25,7 @@
 pub(super) struct TrackedUpstream {
     pub(super) entry: UpstreamEntry,
     pub(super) health: UpstreamHealth,
+    pub(super) work: RecentWork,
     /// Whether the entry vanished about an outage of the store.
     missing: bool,
 }
@@ -67,7 +68,10 @@
         let Some(known) = self.upstreams.get_mut(&entry.id) else {
             let health = UpstreamHealth::default();
             let id = entry.id.clone();
-            self.upstreams.insert(id, TrackedUpstream { entry, health, missing: false });
+            self.upstreams.insert(
+                id,
+                TrackedUpstream { entry, health, work: RecentWork::default(), missing: false },
+            );
             return true;
         };
         known.missing = false;
@@ -140,10 +144,11 @@
         })
     }
 
-    /// An attempt starts.
-    pub fn started(&mut self, id: &str) {
+    /// An attempt starts that is expected to keep the upstream busy for so long, in milliseconds.
+    pub fn started(&mut self, id: &str, work_ms: f64, now: Instant) {
         if let Some(known) = self.upstreams.get_mut(id) {
             known.health.running += 1;
+            known.work.add(work_ms, now);
         }
     }
 
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -45,11 +45,12 @@
 }
 
 impl AttemptGuard {
-    fn new(gateway: &Rc<Gateway>, upstream: &UpstreamId) -> Self {
-        gateway.news.upstreams.borrow_mut().started(upstream);
+    fn new(gateway: &Rc<Gateway>, choice: &UpstreamChoice) -> Self {
+        let mut upstreams = gateway.news.upstreams.borrow_mut();
+        upstreams.started(&choice.id, choice.prefill_ms, Instant::now());
         Self {
             gateway: gateway.clone(),
-            upstream: upstream.clone(),
+            upstream: choice.id.clone(),
             result: Cell::new(AttemptResult::Abandoned),
         }
     }
@@ -177,7 +178,7 @@
         choice: &UpstreamChoice,
         log: &AttemptLog,
     ) -> Result<UpstreamAnswer, AttemptError> {
-        let guard = AttemptGuard::new(self, &choice.id);
+        let guard = AttemptGuard::new(self, choice);
         let connection = self.pool.get(&choice.address).await;
         let mut connection = connection.map_err(|error| {
             log::debug!("event=connect_failed upstream={} error=\"{error}\"", choice.id);
@@ -197,8 +198,7 @@
         let misdirected = head.status == StatusCode::MISDIRECTED_REQUEST;
         if info.not_run || misdirected {
             log.exposed.set(false);
-            let result =
-                if misdirected { AttemptResult::Unreachable } else { AttemptResult::Full };
+            let result = if misdirected { AttemptResult::Unreachable } else { AttemptResult::Full };
             guard.record(result);
             if connection.rest(MAX_FOREIGN_BODY).await.is_ok() {
                 self.pool.put(&choice.address, connection, info.keep_alive);
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,7 +16,7 @@
 use super::http::{AnswerError, CallerReader, CallerRequest, CallerWriter};
 use super::metrics::CallSample;
 use super::refusal::Refusal;
-use super::turns::{ChainError, MAX_NAME_BYTES, ReserveError, TurnReservation};
+use super::turns::{ChainError, MAX_NAME_BYTES, ReserveError, TurnChain, TurnReservation};
 use crate::core::ids::{RequestId, Tokens, UpstreamId};
 use crate::core::routing::{RouteSpec, RouteTable, ServiceName};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
@@ -71,6 +71,8 @@
 /// The part of a call that belongs to a program's history.
 struct TurnWork {
     previous: Option<TurnId>,
+    /// The program that made it, if it is another one.
+    origin: Option<ProgramName>,
     input: Bytes,
     reservation: TurnReservation,
 }
@@ -308,13 +310,14 @@
         }
         let chain = match &call.head.previous {
             Some(previous) => self.read_chain(&program, previous).await?,
-            None => Vec::new(),
+            None => TurnChain::default(),
         };
-        let holder = chain.last().map(|turn| turn.upstream.clone());
-        let body = chain_body(&chain, &call.body);
+        let holder = chain.turns.last().map(|turn| turn.upstream.clone());
+        let body = chain_body(&chain.turns, &call.body);
         let reservation = self.reserve(call, &program).await?;
         let turn = TurnWork {
             previous: call.head.previous.clone(),
+            origin: chain.origin,
             input: call.body.clone(),
             reservation,
         };
@@ -325,7 +328,7 @@
         &self,
         program: &ProgramName,
         previous: &TurnId,
-    ) -> Result<Vec<Rc<TurnRecord>>, Refusal> {
+    ) -> Result<TurnChain, Refusal> {
         self.turns.chain(program, previous).await.map_err(|error| match error {
             ChainError::NoSuchTurn => Refusal::rejected(StatusCode::NOT_FOUND, "no_such_turn"),
             ChainError::Store(error) => self.store_refusal(&error),
@@ -489,6 +492,7 @@
     fn record(&self, upstream: &UpstreamId, events: EventParser) -> TurnRecord {
         TurnRecord {
             previous: self.previous.clone(),
+            origin: self.origin.clone(),
             upstream: upstream.clone(),
             input: self.input.clone(),
             output: events.into_output(),
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -97,9 +97,9 @@
     /// Where callers may connect, this instance's zone first.
     pub(crate) fn caller_addresses(&self, zone: &str) -> Vec<Box<str>> {
         let table = self.table.borrow();
-        let serving = table.iter().filter(|member| {
-            member.state == MemberState::Alive && !member.http_address.is_empty()
-        });
+        let serving = table
+            .iter()
+            .filter(|member| member.state == MemberState::Alive && !member.http_address.is_empty());
         let mut members: Vec<_> = serving.collect();
         members.sort_by_key(|member| *member.zone != *zone);
         members.into_iter().map(|member| member.http_address.clone()).collect()
@@ -208,8 +208,9 @@
     fn relay_addresses(&self) -> Vec<Box<str>> {
         let me = self.instance();
         let table = self.table.borrow();
-        let others =
-            table.iter().filter(|member| member.state == MemberState::Alive && member.instance != me);
+        let others = table
+            .iter()
+            .filter(|member| member.state == MemberState::Alive && member.instance != me);
         let mut addresses: Vec<_> = others.map(|member| member.rpc_address.clone()).collect();
         addresses.shuffle(&mut rand::rng());
         addresses
--- a/src/gateway/rows.rs
+++ b/src/gateway/rows.rs
@@ -33,6 +33,17 @@
     pub removals: Vec<RowKey>,
 }
 
+impl RowTransaction {
+    /// Whether its rows lie in more than one part.
+    pub fn spans_parts(&self) -> bool {
+        let checks = self.checks.iter().map(|(key, _)| &key.part);
+        let puts = self.puts.iter().map(|(key, _)| &key.part);
+        let mut parts = checks.chain(puts).chain(self.removals.iter().map(|key| &key.part));
+        let first = parts.next();
+        parts.any(|part| Some(part) != first)
+    }
+}
+
 /// The store's answer to a transaction.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum CommitReply {
@@ -47,6 +58,8 @@
     pub table: Box<str>,
     pub part: Box<str>,
     pub from: Option<Box<str>>,
+    /// Most rows wanted; absent for as many as one answer holds.
+    pub limit: Option<usize>,
 }
 
 /// Rows as of one moment.
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -259,9 +259,8 @@
 }
 
 fn read_relay(answer: &[u8]) -> Result<(u16, Bytes), StoreError> {
-    let malformed = |message: &dyn ToString| StoreError::Malformed {
-        message: message.to_string().into(),
-    };
+    let malformed =
+        |message: &dyn ToString| StoreError::Malformed { message: message.to_string().into() };
     let reply: RelayReply = serde_json::from_slice(answer).map_err(|error| malformed(&error))?;
     let body = STANDARD.decode(&*reply.body).map_err(|error| malformed(&error))?;
     Ok((reply.status, body.into()))
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -71,7 +71,7 @@
     async fn read_routes(&self) -> Result<RowVersion, StoreError> {
         let asked = Instant::now();
         let table = self.dialect.routes_table();
-        let range = RowRange { table: table.into(), part: Box::default(), from: None };
+        let range = RowRange { table: table.into(), part: Box::default(), from: None, limit: None };
         let reply = self.store.range(&range).await?;
         for row in &reply.rows {
             self.take_routes(row);
@@ -121,7 +121,8 @@
 
     async fn read_upstreams(&self) -> Result<RowVersion, StoreError> {
         let table = self.dialect.upstreams_table();
-        let mut range = RowRange { table: table.into(), part: Box::default(), from: None };
+        let mut range =
+            RowRange { table: table.into(), part: Box::default(), from: None, limit: None };
         let mut entries = Vec::new();
         let mut oldest = None;
         loop {
@@ -194,7 +195,9 @@
             };
             if upstreams.apply(news, now) {
                 let (upstream, version) = (&row.key.key, row.version);
-                log::info!("event=upstream_changed upstream={upstream} state={state} version={version}");
+                log::info!(
+                    "event=upstream_changed upstream={upstream} state={state} version={version}"
+                );
             }
         }
         for upstream in upstreams.expire(now) {
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -7,6 +7,7 @@
 
 use bytes::{Bytes, BytesMut};
 use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::rows::{CommitReply, RowKey, RowRange, RowTransaction, RowVersion, StoredRow};
 use super::store::StoreLink;
@@ -19,6 +20,10 @@
 
 /// Table with the rows of programs; each program is a part of it.
 const TABLE: &str = "programs";
+/// Table that names the program of each turn.
+const INDEX_TABLE: &str = "turn-programs";
+/// Parts of the index: enough that none of them takes more than a few writes a second.
+const INDEX_PARTS: u64 = 256;
 /// Key of a program's ledger; it sorts before the turns.
 const LEDGER_KEY: &str = "ledger";
 /// Keys of turns: this, the turn's id, and the number of the piece.
@@ -40,6 +45,15 @@
     Store(StoreError),
 }
 
+/// What a turn continues from.
+#[derive(Debug, Default)]
+pub(crate) struct TurnChain {
+    /// Oldest first.
+    pub(crate) turns: Vec<Rc<TurnRecord>>,
+    /// The program that made the last one, if it is another one than the turn's.
+    pub(crate) origin: Option<ProgramName>,
+}
+
 /// Why a turn may not run.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum ReserveError {
@@ -78,9 +92,7 @@
         let keeper = self.keeper.clone();
         let (program, turn, used) = (self.program.clone(), self.turn.clone(), self.used);
         let record = Rc::new(record);
-        let settle = async move {
-            keeper.settle(&program, &turn, used, Some(record), limit).await
-        };
+        let settle = async move { keeper.settle(&program, &turn, used, Some(record), limit).await };
         actix_rt::spawn(settle).await.unwrap_or(false)
     }
 }
@@ -110,24 +122,63 @@
     }
 
     /// The chain that ends with `turn`, oldest first.
+    ///
+    /// The turn is looked for in the program first, and by the index if it is not there: a program
+    /// may go on from what another one said.
     pub(crate) async fn chain(
         &self,
         program: &ProgramName,
         turn: &TurnId,
-    ) -> Result<Vec<Rc<TurnRecord>>, ChainError> {
-        if let ChainLookup::Whole(chain) = self.cache.borrow_mut().chain(program, turn) {
-            return Ok(chain);
-        }
-        self.load(program).await.map_err(ChainError::Store)?;
-        match self.cache.borrow_mut().chain(program, turn) {
-            ChainLookup::Whole(chain) => Ok(chain),
-            ChainLookup::Missing(_) => Err(ChainError::NoSuchTurn),
+    ) -> Result<TurnChain, ChainError> {
+        let mut origin = program.clone();
+        let mut loaded: Vec<ProgramName> = Vec::new();
+        loop {
+            let missing = match self.lookup(turn) {
+                ChainLookup::Whole(turns) => {
+                    self.cache.borrow_mut().touch(&origin);
+                    let origin = (origin != *program).then_some(origin);
+                    return Ok(TurnChain { turns, origin });
+                }
+                ChainLookup::Missing(missing) => missing,
+            };
+            let mut next = program.clone();
+            if loaded.contains(program) {
+                next = self.program_of(&missing).await?;
+                if missing == *turn {
+                    origin = next.clone();
+                }
+            }
+            if loaded.contains(&next) {
+                return Err(ChainError::NoSuchTurn);
+            }
+            self.load(&next).await.map_err(ChainError::Store)?;
+            loaded.push(next);
         }
     }
 
+    fn lookup(&self, turn: &TurnId) -> ChainLookup {
+        self.cache.borrow().chain(turn)
+    }
+
+    /// The program that made a turn, from the index.
+    async fn program_of(&self, turn: &TurnId) -> Result<ProgramName, ChainError> {
+        let key = index_key(turn);
+        let range = RowRange {
+            table: key.table.clone(),
+            part: key.part.clone(),
+            from: Some(key.key.clone()),
+            limit: Some(1),
+        };
+        let reply = self.store.range(&range).await.map_err(ChainError::Store)?;
+        let row = reply.rows.into_iter().find(|row| row.key == key);
+        let value = row.and_then(|row| row.value).ok_or(ChainError::NoSuchTurn)?;
+        String::from_utf8(value.to_vec()).map(Into::into).map_err(|_| ChainError::NoSuchTurn)
+    }
+
     /// Reads everything the store has of a program.
     async fn load(&self, program: &ProgramName) -> Result<(), StoreError> {
-        let mut range = RowRange { table: TABLE.into(), part: program.clone(), from: None };
+        let mut range =
+            RowRange { table: TABLE.into(), part: program.clone(), from: None, limit: None };
         let mut rows = Vec::new();
         loop {
             let reply = self.store.range(&range).await?;
@@ -160,7 +211,9 @@
             match TurnRecord::decode(value) {
                 Ok(record) => self.cache.borrow_mut().insert(program, turn, record.into()),
                 Err(error) => {
-                    log::error!("event=turn_unreadable program={program} turn={turn} error=\"{error}\"");
+                    log::error!(
+                        "event=turn_unreadable program={program} turn={turn} error=\"{error}\""
+                    );
                 }
             }
         }
@@ -169,7 +222,9 @@
     fn take_ledger(&self, program: &ProgramName, version: RowVersion, value: &[u8]) {
         match serde_json::from_slice(value) {
             Ok(ledger) => self.cache.borrow_mut().set_ledger(program, version, ledger),
-            Err(error) => log::error!("event=ledger_unreadable program={program} error=\"{error}\""),
+            Err(error) => {
+                log::error!("event=ledger_unreadable program={program} error=\"{error}\"")
+            }
         }
     }
 
@@ -322,7 +377,8 @@
             let key = format!("{TURN_PREFIX}{turn}/{number}");
             (row_key(program, &key), value.slice(range))
         };
-        ranges.into_iter().enumerate().map(piece).collect()
+        let index = (index_key(turn), Bytes::copy_from_slice(program.as_bytes()));
+        ranges.into_iter().enumerate().map(piece).chain([index]).collect()
     }
 }
 
@@ -330,6 +386,11 @@
     RowKey { table: TABLE.into(), part: program.clone(), key: key.into() }
 }
 
+fn index_key(turn: &TurnId) -> RowKey {
+    let part = xxh3_64(turn.as_bytes()) % INDEX_PARTS;
+    RowKey { table: INDEX_TABLE.into(), part: format!("{part:02x}").into(), key: turn.clone() }
+}
+
 fn parse_turn_key(key: &str) -> Option<(TurnId, usize)> {
     let (turn, piece) = key.strip_prefix(TURN_PREFIX)?.rsplit_once('/')?;
     Some((turn.into(), piece.parse().ok()?))
