Commit the writes of several turns in one transaction

Change: a committer merges transactions that come within 15 ms (reservations) or 50 ms (settlements); a conflict fails what it names and sends the rest again. Instances look every 10 ms, not 200, whether they are ready. Stores without transactions over parts get the index first, then the checked part.

--- /dev/null
+++ b/src/gateway/committer.rs
@@ -0,0 +1,169 @@
+//! Writes of many requests in few transactions.
+//!
+//! Each store call has a price and the store takes a bounded number a second, so writes wait a
+//! little for others. What a conflict names fails; the rest of the batch goes out again.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, sleep_until};
+
+use super::rows::{CommitReply, RowKey, RowTransaction, RowVersion, StoredRow};
+use super::store::StoreLink;
+use crate::node::platform::StoreError;
+
+/// Rows in one transaction; the store takes 100.
+const MAX_ROWS: usize = 96;
+/// Text in one transaction, in bytes; the store takes 1 MB, in which it grows by a third.
+const MAX_BYTES: usize = 600_000;
+
+type CommitResult = Result<CommitReply, StoreError>;
+
+struct QueuedCommit {
+    transaction: RowTransaction,
+    /// When it leaves at the latest.
+    due: Instant,
+    reply: oneshot::Sender<CommitResult>,
+}
+
+/// Collects transactions and commits them together.
+pub(crate) struct StoreCommitter {
+    store: Rc<StoreLink>,
+    /// Whether the store takes transactions over several parts.
+    across: bool,
+    queue: RefCell<Vec<QueuedCommit>>,
+    queued: Notify,
+    batches: Cell<u64>,
+}
+
+impl StoreCommitter {
+    pub(crate) fn new(store: Rc<StoreLink>, across: bool) -> Self {
+        Self {
+            store,
+            across,
+            queue: RefCell::default(),
+            queued: Notify::new(),
+            batches: Cell::new(0),
+        }
+    }
+
+    /// Transactions sent so far.
+    pub(crate) fn batches(&self) -> u64 {
+        self.batches.get()
+    }
+
+    /// Commits a transaction, together with others that come within `patience`.
+    pub(crate) async fn commit(
+        &self,
+        transaction: RowTransaction,
+        patience: Duration,
+    ) -> CommitResult {
+        if !self.across {
+            return self.commit_by_part(&transaction).await;
+        }
+        let (reply, answered) = oneshot::channel();
+        let due = Instant::now() + patience;
+        self.queue.borrow_mut().push(QueuedCommit { transaction, due, reply });
+        self.queued.notify_one();
+        // The batch's task never ends without an answer; if it is dropped, so is the process.
+        answered.await.unwrap_or(Err(StoreError::ReplyLost))
+    }
+
+    /// Without transactions over several parts, parts without conditions are written first: until
+    /// the checked part follows, nothing refers to them.
+    async fn commit_by_part(&self, transaction: &RowTransaction) -> CommitResult {
+        let mut reply = Err(StoreError::Unavailable);
+        for part in transaction.by_part() {
+            self.batches.set(self.batches.get() + 1);
+            reply = self.store.commit(&part).await;
+            if !matches!(reply, Ok(CommitReply::Committed(_))) {
+                return reply;
+            }
+        }
+        reply
+    }
+
+    /// Sends batches as they fall due.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            let due = self.queue.borrow().iter().map(|queued| queued.due).min();
+            match due {
+                None => self.queued.notified().await,
+                Some(due) if Instant::now() < due => tokio::select! {
+                    () = sleep_until(due) => {}
+                    () = self.queued.notified() => {}
+                },
+                Some(_) => {
+                    let batch = self.take_batch();
+                    actix_rt::spawn(self.clone().send(batch));
+                }
+            }
+        }
+    }
+
+    /// As many queued transactions as fit, no two of which concern the same row.
+    fn take_batch(&self) -> Vec<QueuedCommit> {
+        let mut queue = self.queue.borrow_mut();
+        let mut keys: BTreeSet<RowKey> = BTreeSet::new();
+        let (mut rows, mut bytes) = (0, 0);
+        let mut batch = Vec::new();
+        let mut left = Vec::new();
+        for queued in queue.drain(..) {
+            let transaction = &queued.transaction;
+            let fits = rows + transaction.rows() <= MAX_ROWS
+                && bytes + transaction.bytes() <= MAX_BYTES
+                && transaction.keys().all(|key| !keys.contains(key));
+            if batch.is_empty() || fits {
+                rows += transaction.rows();
+                bytes += transaction.bytes();
+                keys.extend(transaction.keys().cloned());
+                batch.push(queued);
+            } else {
+                left.push(queued);
+            }
+        }
+        *queue = left;
+        batch
+    }
+
+    async fn send(self: Rc<Self>, batch: Vec<QueuedCommit>) {
+        let mut merged = RowTransaction::default();
+        for queued in &batch {
+            merged.merge(&queued.transaction);
+        }
+        self.batches.set(self.batches.get() + 1);
+        match self.store.commit(&merged).await {
+            Ok(CommitReply::Conflict(rows)) => self.divide(batch, &rows),
+            result => {
+                for queued in batch {
+                    // Whoever no longer waits has given the request up.
+                    let _ = queued.reply.send(result.clone());
+                }
+            }
+        }
+    }
+
+    /// Tells those whose conditions failed, and sends the others again at once.
+    fn divide(&self, batch: Vec<QueuedCommit>, rows: &[StoredRow]) {
+        let version = |key: &RowKey| -> RowVersion {
+            rows.iter().find(|row| row.key == *key).map_or(0, |row| row.version)
+        };
+        let alone = batch.len() == 1;
+        for mut queued in batch {
+            let checks = &queued.transaction.checks;
+            let failed = checks.iter().any(|(key, expected)| version(key) != *expected);
+            if failed || alone {
+                let own = |row: &&StoredRow| checks.iter().any(|(key, _)| *key == row.key);
+                let rows = rows.iter().filter(own).cloned().collect();
+                let _ = queued.reply.send(Ok(CommitReply::Conflict(rows)));
+            } else {
+                queued.due = Instant::now();
+                self.queue.borrow_mut().push(queued);
+                self.queued.notify_one();
+            }
+        }
+    }
+}
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -29,6 +29,7 @@
     pub(crate) cached_bytes: u64,
     pub(crate) open_calls: u64,
     pub(crate) store_calls: u64,
+    pub(crate) store_batches: u64,
     pub(crate) store_outage: Duration,
 }
 
@@ -47,6 +48,7 @@
     cached_bytes: Gauge<u64>,
     open_calls: Gauge<u64>,
     store_calls: Gauge<u64>,
+    store_batches: Gauge<u64>,
     store_outage_seconds: Gauge<f64>,
 }
 
@@ -79,6 +81,7 @@
             cached_bytes: meter.u64_gauge("gateway_cached_bytes").build(),
             open_calls: meter.u64_gauge("gateway_open_calls").build(),
             store_calls: meter.u64_gauge("gateway_store_calls").build(),
+            store_batches: meter.u64_gauge("gateway_store_batches").build(),
             store_outage_seconds: meter.f64_gauge("gateway_store_outage_seconds").build(),
             _provider: provider,
         }
@@ -106,6 +109,7 @@
         self.cached_bytes.record(sample.cached_bytes, &[]);
         self.open_calls.record(sample.open_calls, &[]);
         self.store_calls.record(sample.store_calls, &[]);
+        self.store_batches.record(sample.store_batches, &[]);
         self.store_outage_seconds.record(sample.store_outage.as_secs_f64(), &[]);
     }
 
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod call;
+mod committer;
 mod desk;
 pub mod dialect;
 mod events;
@@ -27,6 +28,7 @@
 
 use tokio::sync::Notify;
 
+use committer::StoreCommitter;
 use dialect::GatewayDialect;
 use http::ConnectionPool;
 use members::MemberView;
@@ -47,6 +49,7 @@
     pub(crate) store: Rc<StoreLink>,
     pub(crate) news: Rc<StoreNews>,
     pub(crate) turns: Rc<TurnKeeper>,
+    pub(crate) committer: Rc<StoreCommitter>,
     pub(crate) members: Rc<MemberView>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) stop: StopState,
@@ -73,6 +76,7 @@
             cached_bytes: self.turns.cached_bytes() as u64,
             open_calls: self.open_calls.get().into(),
             store_calls: self.store.calls(),
+            store_batches: self.committer.batches(),
             store_outage: self.store.outage().unwrap_or_default(),
         });
     }
--- a/src/gateway/rows.rs
+++ b/src/gateway/rows.rs
@@ -1,5 +1,6 @@
 //! Rows of the platform's store, and the calls that read and write them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use actix_http::Method;
@@ -34,14 +35,55 @@
 }
 
 impl RowTransaction {
+    /// Keys of all rows it concerns; a checked row that is also written comes twice.
+    pub fn keys(&self) -> impl Iterator<Item = &RowKey> {
+        let checks = self.checks.iter().map(|(key, _)| key);
+        let puts = self.puts.iter().map(|(key, _)| key);
+        checks.chain(puts).chain(&self.removals)
+    }
+
+    /// Entries it has, which the store bounds.
+    pub fn rows(&self) -> usize {
+        self.checks.len() + self.puts.len() + self.removals.len()
+    }
+
+    /// Values it writes, in bytes.
+    pub fn bytes(&self) -> usize {
+        self.puts.iter().map(|(_, value)| value.len()).sum()
+    }
+
     /// Whether its rows lie in more than one part.
     pub fn spans_parts(&self) -> bool {
-        let checks = self.checks.iter().map(|(key, _)| &key.part);
-        let puts = self.puts.iter().map(|(key, _)| &key.part);
-        let mut parts = checks.chain(puts).chain(self.removals.iter().map(|key| &key.part));
+        let mut parts = self.keys().map(|key| &key.part);
         let first = parts.next();
         parts.any(|part| Some(part) != first)
     }
+
+    /// Adds the entries of another transaction.
+    pub fn merge(&mut self, other: &Self) {
+        self.checks.extend(other.checks.iter().cloned());
+        self.puts.extend(other.puts.iter().cloned());
+        self.removals.extend(other.removals.iter().cloned());
+    }
+
+    /// The same entries as a transaction a part, those without conditions first.
+    pub fn by_part(&self) -> Vec<Self> {
+        let parts: BTreeSet<&str> = self.keys().map(|key| &*key.part).collect();
+        let mut split: Vec<Self> = parts.into_iter().map(|part| self.in_part(part)).collect();
+        split.sort_by_key(|transaction| !transaction.checks.is_empty());
+        split
+    }
+
+    fn in_part(&self, part: &str) -> Self {
+        let checks = self.checks.iter().filter(|(key, _)| *key.part == *part);
+        let puts = self.puts.iter().filter(|(key, _)| *key.part == *part);
+        let removals = self.removals.iter().filter(|key| *key.part == *part);
+        Self {
+            checks: checks.cloned().collect(),
+            puts: puts.cloned().collect(),
+            removals: removals.cloned().collect(),
+        }
+    }
 }
 
 /// The store's answer to a transaction.
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use super::Gateway;
+use super::committer::StoreCommitter;
 use super::desk::{directory_handler, peer_handler, ready_handler};
 use super::dialect::GatewayDialect;
 use super::http::ConnectionPool;
@@ -31,6 +32,8 @@
 const MAX_QUESTION: usize = 1024;
 /// How often idle connections are looked through, and news of peers looked at.
 const CHORES_PACE: Duration = Duration::from_millis(200);
+/// How often an instance that starts looks whether it is ready; callers wait for it.
+const START_PACE: Duration = Duration::from_millis(10);
 
 /// The sockets of one gateway, open.
 pub struct GatewaySockets {
@@ -103,7 +106,11 @@
     store.set_peers(members.clone());
     let news = Rc::new(StoreNews::new(store.clone(), dialect.clone()));
     let cache_bytes = settings.cache_bytes();
-    let turns = TurnKeeper::new(store.clone(), cache_bytes, settings.store_row_bytes);
+    let across = settings.store_across_parts.unwrap_or(false);
+    let committer = Rc::new(StoreCommitter::new(store.clone(), across));
+    actix_rt::spawn(committer.clone().run());
+    let row_bytes = settings.store_row_bytes;
+    let turns = TurnKeeper::new(store.clone(), committer.clone(), cache_bytes, row_bytes);
     let gateway = Rc::new(Gateway {
         metrics: GatewayMetrics::new(&settings.instance),
         settings,
@@ -112,6 +119,7 @@
         store,
         news: news.clone(),
         turns: Rc::new(turns),
+        committer,
         members: members.clone(),
         stop: StopState::default(),
         open_calls: Cell::new(0),
@@ -144,7 +152,7 @@
             }
             self.pool.prune();
             self.follow_heads().await;
-            sleep(CHORES_PACE).await;
+            sleep(if announced { CHORES_PACE } else { START_PACE }).await;
         }
     }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -33,6 +33,9 @@
     pub store_address: Box<str>,
     /// Largest value of a row, in bytes.
     pub store_row_bytes: usize,
+    /// Whether the store takes transactions over several parts; no if absent.
+    #[serde(default)]
+    pub store_across_parts: Option<bool>,
     /// Memory this process may use, in megabytes.
     pub memory_mb: u64,
     /// Time from SIGTERM until the process is killed, in seconds.
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::committer::StoreCommitter;
 use super::rows::{CommitReply, RowKey, RowRange, RowTransaction, RowVersion, StoredRow};
 use super::store::StoreLink;
 use crate::core::ids::Tokens;
@@ -30,6 +31,10 @@
 const TURN_PREFIX: &str = "t/";
 /// Text that a row keeps free for the store's own fields, in bytes.
 const ROW_MARGIN: usize = 256;
+/// How long a reservation waits for other writes.
+const RESERVE_PATIENCE: Duration = Duration::from_millis(15);
+/// How long a settlement waits for other writes.
+const SETTLE_PATIENCE: Duration = Duration::from_millis(50);
 /// Pause before a write is tried again: the store's answer takes some 4 ms.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// How long a settlement that nobody waits for is tried.
@@ -64,6 +69,7 @@
 /// What programs have said, and what they have spent.
 pub(crate) struct TurnKeeper {
     store: Rc<StoreLink>,
+    committer: Rc<StoreCommitter>,
     cache: RefCell<TurnCache>,
     /// Largest value of a row, in bytes.
     row_bytes: usize,
@@ -113,8 +119,14 @@
 }
 
 impl TurnKeeper {
-    pub(crate) fn new(store: Rc<StoreLink>, cache_bytes: usize, row_bytes: usize) -> Self {
-        Self { store, cache: RefCell::new(TurnCache::new(cache_bytes)), row_bytes }
+    pub(crate) fn new(
+        store: Rc<StoreLink>,
+        committer: Rc<StoreCommitter>,
+        cache_bytes: usize,
+        row_bytes: usize,
+    ) -> Self {
+        let cache = RefCell::new(TurnCache::new(cache_bytes));
+        Self { store, committer, cache, row_bytes }
     }
 
     pub(crate) fn cached_bytes(&self) -> usize {
@@ -262,7 +274,7 @@
                 puts: vec![(key, ledger_value(&ledger))],
                 removals: Vec::new(),
             };
-            match self.store.commit(&transaction).await {
+            match self.committer.commit(transaction, RESERVE_PATIENCE).await {
                 Ok(CommitReply::Committed(version)) => {
                     self.cache.borrow_mut().set_ledger(program, version, ledger);
                     return Ok(self.reservation(program, turn));
@@ -330,7 +342,7 @@
                 transaction.checks.push((first.clone(), 0));
             }
             transaction.puts.extend(pieces.iter().cloned());
-            match self.store.commit(&transaction).await {
+            match self.committer.commit(transaction, SETTLE_PATIENCE).await {
                 Ok(CommitReply::Committed(version)) => {
                     self.cache.borrow_mut().set_ledger(program, version, ledger);
                     break;
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -188,6 +188,46 @@
     assert_eq!(next.status(), 200);
 }
 
+/// On a store whose transactions keep to one part, the index is written before the turn it names.
+#[actix_rt::test]
+async fn a_store_without_transactions_over_parts_will_do() {
+    let mut deployment = Deployment::start(0, 1).await;
+    let store = deployment.store_address.clone();
+    let gateway = platform_standin::TestGateway::start_on("127.0.0.2", &store, 0, &[], false);
+    gateway.ready().await;
+    deployment.gateways.push(gateway);
+    deployment.gateway().call(&turn("t1", "p", None, "one ")).await;
+    deployment.gateways[0].kill().await;
+    deployment.gateways.clear();
+    let gateway = platform_standin::TestGateway::start_on("127.0.0.3", &store, 0, &[], false);
+    gateway.ready().await;
+    let next = gateway.call(&turn("t2", "other", Some("t1"), "two ")).await;
+    assert_eq!((next.status(), next.whole), (200, true));
+    assert_eq!(deployment.runs()[1].text(), chained("one ", "two "));
+}
+
+/// Turns of one program settle at once on two instances, and writes of other programs travel in
+/// the same transactions. A conflict about one of them must not fail the others.
+#[actix_rt::test]
+async fn a_conflict_fails_only_what_it_names() {
+    let deployment = Deployment::start(2, 1).await;
+    let requests: Vec<(usize, String)> = (0..24)
+        .map(|number| {
+            let program = if number % 3 == 0 { "shared".to_owned() } else { format!("p{number}") };
+            (number % 2, budgeted_turn(&format!("t{number}"), &program, None, "x", 48))
+        })
+        .collect();
+    let calls = requests.iter().map(|(at, request)| deployment.gateways[*at].call(request));
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().all(|answer| (answer.status(), answer.whole) == (200, true)));
+    let ledgers = deployment.store.values("programs", "ledger");
+    let mut spent: Vec<String> =
+        ledgers.iter().map(|ledger| String::from_utf8_lossy(ledger).into_owned()).collect();
+    spent.sort();
+    spent.dedup();
+    assert_eq!(spent, [r#"{"s":48,"o":{}}"#, r#"{"s":6,"o":{}}"#]);
+}
+
 /// A turn larger than a row of the store is kept in pieces.
 #[actix_rt::test]
 async fn a_large_turn_is_kept_whole() {
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -43,13 +43,24 @@
 impl TestGateway {
     /// Starts a gateway at this IP. All gateways of a test share the port of the failure detector.
     pub fn start(ip: &str, store: &str, gossip_port: u16, seeds: &[&TestGateway]) -> Self {
+        Self::start_on(ip, store, gossip_port, seeds, true)
+    }
+
+    /// Like [`TestGateway::start`], on a store that takes transactions over several parts or not.
+    pub fn start_on(
+        ip: &str,
+        store: &str,
+        gossip_port: u16,
+        seeds: &[&TestGateway],
+        across: bool,
+    ) -> Self {
         let seeds: Vec<&str> = seeds.iter().map(|seed| &*seed.settings.peer_address).collect();
         let any = format!("{ip}:0");
         let text = json!({
             "instance": format!("gateway-{ip}"), "zone": "zone-a", "region": "region",
             "caller_address": any, "ready_address": any, "directory_address": any,
             "peer_address": any, "gossip_port": gossip_port, "seeds": seeds,
-            "store_address": store, "store_row_bytes": 65536, "memory_mb": 130,
+            "store_address": store, "store_row_bytes": 65536, "store_across_parts": across, "memory_mb": 130,
             "grace_seconds": 8, "address_keep_seconds": 0.3,
         });
         let mut settings = GatewaySettings::parse(&text.to_string()).expect("valid settings");
