--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -26,6 +26,8 @@
     /// The budget does not hold the turn's most tokens on top of this.
     Exhausted {
         committed: Tokens,
+        /// Whether what was spent alone leaves no room: running turns cannot give any back.
+        lasting: bool,
     },
 }
 
@@ -37,7 +39,8 @@
         }
         let committed = self.committed();
         if committed.saturating_add(most) > budget {
-            return ReserveReply::Exhausted { committed };
+            let lasting = self.spent.saturating_add(most) > budget;
+            return ReserveReply::Exhausted { committed, lasting };
         }
         self.open.insert(turn.clone(), most);
         ReserveReply::Reserved
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -26,6 +26,10 @@
 /// attempts at it cost them a second each.
 const SUSPICION: Duration = Duration::from_secs(1);
 
+/// Instances in a caller's zone that suffice to name no others: a caller that meets a dead one
+/// still has another. It keeps bytes in the zone and programs near their cached history.
+const ENOUGH_NEAR: usize = 2;
+
 /// The members of the deployment as this instance knows them.
 pub(crate) struct MemberView {
     table: RefCell<MemberTable>,
@@ -101,7 +105,10 @@
             .iter()
             .filter(|member| member.state == MemberState::Alive && !member.http_address.is_empty());
         let mut members: Vec<_> = serving.collect();
-        members.sort_by_key(|member| *member.zone != *zone);
+        let near = members.iter().filter(|member| *member.zone == *zone).count();
+        if near >= ENOUGH_NEAR {
+            members.retain(|member| *member.zone == *zone);
+        }
         members.into_iter().map(|member| member.http_address.clone()).collect()
     }
 
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -259,8 +259,9 @@
         let mut fresh = false;
         loop {
             let (version, mut ledger) = self.ledger(program);
-            if let ReserveReply::Exhausted { committed } = ledger.reserve(turn, most, budget) {
-                if fresh {
+            let reply = ledger.reserve(turn, most, budget);
+            if let ReserveReply::Exhausted { committed, lasting } = reply {
+                if fresh || lasting {
                     return Err(ReserveError::Exhausted { committed });
                 }
                 // Other instances may have given tokens back since this ledger was seen.
