Send store calls by several ways at once; one probe while the store is away

Ruled out: shorter limits alone (a store slowed 60-fold answers in up to 700 ms and would count as away). Change: a call without an answer after some 100 ms goes another way as well (a fresh connection, then peers); the first answer counts, as all writes have conditions. A failed call is an outage only if none was answered meanwhile. During one, calls fail at once and a probe every 250 ms looks for the return, which settlements wait for. A peer that is cut off says so at once.

--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -68,6 +68,7 @@
     match gateway.store.serve_relay(body).await {
         Ok(reply) => body_response(StatusCode::OK, JSON, reply),
         Err(RelayError::Malformed) => text_response(StatusCode::BAD_REQUEST, "malformed"),
+        Err(RelayError::CutOff) => text_response(StatusCode::SERVICE_UNAVAILABLE, "cut off"),
         Err(RelayError::NoAnswer) => text_response(StatusCode::BAD_GATEWAY, "no answer"),
     }
 }
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -15,7 +15,7 @@
 use tokio::net::TcpStream;
 
 pub(crate) use caller::{CallerReader, CallerRequest, CallerWriter, ReadError, split_caller};
-pub(crate) use pool::ConnectionPool;
+pub(crate) use pool::{ConnectionPool, ExchangeError};
 pub(crate) use upstream::{AnswerError, UpstreamConnection};
 
 /// A peer that does not acknowledge bytes for so long is given up. Links take a few
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -109,6 +109,7 @@
     let across = settings.store_across_parts.unwrap_or(false);
     let committer = Rc::new(StoreCommitter::new(store.clone(), across));
     actix_rt::spawn(committer.clone().run());
+    actix_rt::spawn(store.clone().watch());
     let row_bytes = settings.store_row_bytes;
     let turns = TurnKeeper::new(store.clone(), committer.clone(), cache_bytes, row_bytes);
     let gateway = Rc::new(Gateway {
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -4,37 +4,42 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::Method;
+use actix_http::{Method, StatusCode};
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use super::dialect::GatewayDialect;
-use super::http::ConnectionPool;
+use super::http::{ConnectionPool, ExchangeError};
 use super::rows::{
     ChangesReply, CommitReply, RangeReply, RowRange, RowTransaction, RowVersion, StoreCall,
 };
 use crate::node::platform::StoreError;
 
-/// Shortest and longest wait for the store beyond what it holds a call on purpose. It answers
-/// within some 4 to 10 ms, and within 400 where it is slowed 60-fold and transactions queue.
-const DIRECT_LIMIT_MIN: Duration = Duration::from_millis(200);
-const DIRECT_LIMIT_MAX: Duration = Duration::from_millis(1_200);
-/// Waits for the store are limited to this many times its usual answer time.
-const PATIENCE_FACTOR: f64 = 10.0;
-/// Share of the newest answer time in the usual one: about the last eight count.
-const LATENCY_SHARE: f64 = 0.125;
-/// Answers lost in a row after which the direct way counts as failed. Single ones are lost while
-/// the store serves all others; taken for an outage, each would refuse all turns for a while.
-const LOST_LIMIT: u32 = 3;
-/// Longest wait for a peer that asks the store for this instance.
-const RELAY_LIMIT: Duration = Duration::from_millis(1_100);
+/// Shortest and longest wait for an answer of the store beyond what it holds a call on purpose. It
+/// answers within 4 to 10 ms, and within some 700 where it is slowed 60-fold.
+const CALL_LIMIT_MIN: Duration = Duration::from_millis(1_200);
+const CALL_LIMIT_MAX: Duration = Duration::from_millis(2_500);
+/// The limit as a multiple of the usual answer time.
+const LIMIT_FACTOR: f64 = 8.0;
+/// Shortest and longest wait before the same call is also sent another way, and its multiple of the
+/// usual answer time. All writes have conditions, so the second of two changes nothing; a lost
+/// answer then costs some 100 ms instead of the whole limit.
+const HEDGE_DELAY_MIN: Duration = Duration::from_millis(100);
+const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
+const HEDGE_FACTOR: f64 = 4.0;
+/// Share of the newest answer time in the usual one: about the last four count.
+const LATENCY_SHARE: f64 = 0.25;
 /// Peers asked for one call: with a third of the instances cut off, two find the way in 8 of 9.
 const RELAY_TRIES: usize = 2;
-/// While the direct way fails, it is tried again this often.
+/// While the direct way fails, one call takes it again this often.
 const DIRECT_RETRY: Duration = Duration::from_millis(500);
+/// While no way works, one call looks this often whether the store is back.
+const PROBE_PACE: Duration = Duration::from_millis(250);
 
 /// Path of the relay on the address for peers.
 pub(crate) const RELAY_PATH: &str = "/store";
@@ -63,40 +68,43 @@
 /// What is known of the ways to the store.
 #[derive(Debug, Clone, Copy, Default)]
 struct StoreHealth {
-    /// The usual answer time, in seconds; it doubles with each answer that does not come.
+    /// The usual answer time, in seconds.
     latency: f64,
-    lost_in_row: u32,
     /// Since when no way has worked.
     lost: Option<Instant>,
+    /// When a call failed on the direct way, unless one has succeeded since.
     direct_failed: Option<Instant>,
-    relay_failed: Option<Instant>,
+    direct_answered: Option<Instant>,
+    /// When any way last brought an answer.
+    answered: Option<Instant>,
 }
 
 impl StoreHealth {
-    fn answered(&mut self, seconds: f64) {
-        self.lost_in_row = 0;
-        self.latency += LATENCY_SHARE * (seconds - self.latency);
-    }
-
-    fn unanswered(&mut self) {
-        self.lost_in_row += 1;
-        let longest = DIRECT_LIMIT_MAX.as_secs_f64() / PATIENCE_FACTOR;
-        let least = DIRECT_LIMIT_MIN.as_secs_f64() / PATIENCE_FACTOR;
-        self.latency = (self.latency.max(least) * 2.0).min(longest);
+    fn scaled(&self, factor: f64, least: Duration, most: Duration) -> Duration {
+        Duration::from_secs_f64(self.latency * factor).clamp(least, most)
     }
 
     fn limit(&self) -> Duration {
-        let limit = Duration::from_secs_f64(self.latency * PATIENCE_FACTOR);
-        limit.clamp(DIRECT_LIMIT_MIN, DIRECT_LIMIT_MAX)
+        self.scaled(LIMIT_FACTOR, CALL_LIMIT_MIN, CALL_LIMIT_MAX)
     }
 
-    /// Whether each way has failed so lately that another try would only add to an outage.
-    fn is_hopeless(&self) -> bool {
-        let lately = |failed: Option<Instant>| failed.is_some_and(|at| at.elapsed() < DIRECT_RETRY);
-        lately(self.direct_failed) && lately(self.relay_failed)
+    fn hedge_delay(&self) -> Duration {
+        self.scaled(HEDGE_FACTOR, HEDGE_DELAY_MIN, HEDGE_DELAY_MAX)
     }
 }
 
+/// A way to the store.
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum StoreWay {
+    Direct {
+        /// Whether to open a connection: kept ones may have gone silent.
+        fresh: bool,
+    },
+    Peer(Box<str>),
+}
+
+type StoreAnswer = Result<(u16, Bytes), StoreError>;
+
 /// The client of the store.
 pub(crate) struct StoreLink {
     address: Box<str>,
@@ -104,6 +112,7 @@
     dialect: Rc<dyn GatewayDialect>,
     peers: RefCell<Option<Rc<dyn RelayPeers>>>,
     health: RefCell<StoreHealth>,
+    returned: Notify,
     calls: Cell<u64>,
 }
 
@@ -119,6 +128,7 @@
             dialect,
             peers: RefCell::default(),
             health: RefCell::default(),
+            returned: Notify::new(),
             calls: Cell::new(0),
         }
     }
@@ -133,6 +143,17 @@
         self.health.borrow().lost.map(|since| since.elapsed())
     }
 
+    /// Ends when the store is reachable, at once if it is.
+    pub(crate) async fn reachable(&self) {
+        loop {
+            let returned = self.returned.notified();
+            if self.outage().is_none() {
+                return;
+            }
+            returned.await;
+        }
+    }
+
     /// Calls made so far, relayed ones for peers included.
     pub(crate) fn calls(&self) -> u64 {
         self.calls.get()
@@ -162,114 +183,185 @@
         self.dialect.changes_reply(status, &body)
     }
 
-    /// Tries the direct way, then peers.
-    async fn call(&self, call: &StoreCall) -> Result<(u16, Bytes), StoreError> {
-        if self.health.borrow().is_hopeless() {
+    /// Makes a call unless the store is away; then nothing is sent.
+    async fn call(&self, call: &StoreCall) -> StoreAnswer {
+        if self.outage().is_some() {
             return Err(StoreError::Unavailable);
         }
-        let failed = self.health.borrow().direct_failed;
+        let begun = Instant::now();
+        let result = self.race(call).await;
+        if matches!(result, Err(StoreError::Unavailable | StoreError::ReplyLost)) {
+            self.note_failed(begun);
+        }
+        result
+    }
+
+    /// Sends a call one way, after a while or a failure another way too; the first answer counts.
+    async fn race(&self, call: &StoreCall) -> StoreAnswer {
+        let health = *self.health.borrow();
+        let limit = Instant::now() + call.hold + health.limit();
+        let mut ways = self.ways().into_iter();
+        let mut running = FuturesUnordered::new();
+        let mut next_at = Instant::now();
         let mut result = Err(StoreError::Unavailable);
-        if failed.is_none_or(|at| at.elapsed() >= DIRECT_RETRY) {
-            if failed.is_some() {
-                // The others keep to the relays until this one call has found out.
-                self.health.borrow_mut().direct_failed = Some(Instant::now());
+        loop {
+            if Instant::now() >= next_at || running.is_empty() {
+                match ways.next() {
+                    Some(way) => running.push(self.send(way, call, limit)),
+                    None if running.is_empty() => return result,
+                    None => {}
+                }
+                next_at = Instant::now() + call.hold + health.hedge_delay();
+            }
+            let wake = if ways.len() == 0 { limit } else { next_at.min(limit) };
+            tokio::select! {
+                Some(answer) = running.next() => match answer {
+                    Ok(answer) => return Ok(answer),
+                    // What may have taken effect outweighs what has not.
+                    Err(StoreError::Unavailable) => {}
+                    Err(error) => result = Err(error),
+                },
+                () = sleep_until(wake) => {
+                    if Instant::now() >= limit {
+                        return Err(StoreError::ReplyLost);
+                    }
+                }
             }
-            result = self.direct(call).await;
-            self.note_direct(&result);
         }
-        if result.is_err() && self.health.borrow().direct_failed.is_some() {
-            result = self.relay(call, result).await;
+    }
+
+    /// The ways in the order in which to try them.
+    fn ways(&self) -> Vec<StoreWay> {
+        let peers = self.peers.borrow().as_ref().map(|peers| peers.relay_addresses());
+        let peers = peers.unwrap_or_default().into_iter().take(RELAY_TRIES).map(StoreWay::Peer);
+        let mut health = self.health.borrow_mut();
+        if health.direct_failed.is_some_and(|at| at.elapsed() < DIRECT_RETRY) {
+            return peers.chain([StoreWay::Direct { fresh: true }]).collect();
+        }
+        if health.direct_failed.is_some() {
+            // The others keep to their peers until this call has found out.
+            health.direct_failed = Some(Instant::now());
         }
-        self.note_any(&result);
-        result
+        let direct = [StoreWay::Direct { fresh: false }, StoreWay::Direct { fresh: true }];
+        direct.into_iter().chain(peers).collect()
+    }
+
+    async fn send(&self, way: StoreWay, call: &StoreCall, limit: Instant) -> StoreAnswer {
+        let begun = Instant::now();
+        let limit = limit.saturating_duration_since(begun);
+        let is_direct = matches!(way, StoreWay::Direct { .. });
+        let answer = match &way {
+            StoreWay::Direct { fresh } => self.send_direct(call, *fresh, limit).await,
+            StoreWay::Peer(peer) => self.send_by_peer(peer, call, limit).await,
+        };
+        match &answer {
+            Ok(_) => self.note_answer(is_direct, begun, call),
+            Err(error) if is_direct => self.note_direct_failed(begun, error),
+            Err(_) => {}
+        }
+        answer
     }
 
-    /// A call that only the direct way may take; what peers ask for comes here.
-    pub(crate) async fn direct(&self, call: &StoreCall) -> Result<(u16, Bytes), StoreError> {
+    async fn send_direct(&self, call: &StoreCall, fresh: bool, limit: Duration) -> StoreAnswer {
         self.calls.set(self.calls.get() + 1);
-        let limit = self.health.borrow().limit() + call.hold;
-        let asked = Instant::now();
+        if fresh {
+            self.pool.forget(&self.address);
+        }
         let body = call.body.clone();
         let method = call.method.clone();
         let answer = self.pool.exchange(&self.address, method, &call.target, body, limit).await;
         match answer {
             // Refused, with nothing done: another instance may be served all the same.
             Ok((status, _)) if matches!(status.as_u16(), 429 | 503) => Err(StoreError::Unavailable),
-            Ok((status, body)) => {
-                // A held call's time tells how long nothing changed.
-                if call.hold.is_zero() {
-                    self.health.borrow_mut().answered(asked.elapsed().as_secs_f64());
-                }
-                Ok((status.as_u16(), body))
-            }
+            Ok((status, body)) => Ok((status.as_u16(), body)),
+            Err(ExchangeError::NotSent(_)) => Err(StoreError::Unavailable),
             Err(error) => {
-                self.health.borrow_mut().unanswered();
                 log::debug!("event=store_call_failed target={} error=\"{error}\"", call.target);
                 Err(StoreError::ReplyLost)
             }
         }
     }
 
-    async fn relay(
-        &self,
-        call: &StoreCall,
-        direct: Result<(u16, Bytes), StoreError>,
-    ) -> Result<(u16, Bytes), StoreError> {
-        let peers = self.peers.borrow().as_ref().map(|peers| peers.relay_addresses());
+    async fn send_by_peer(&self, peer: &str, call: &StoreCall, limit: Duration) -> StoreAnswer {
         let request = RelayRequest {
             method: call.method.as_str().into(),
             target: call.target.clone(),
             body: STANDARD.encode(&call.body).into(),
             hold_ms: call.hold.as_millis() as u64,
         };
-        let body: Bytes = serde_json::to_vec(&request).expect("relays serialize").into();
-        let mut result = direct;
-        for peer in peers.unwrap_or_default().into_iter().take(RELAY_TRIES) {
-            let limit = RELAY_LIMIT + call.hold;
-            let sent =
-                self.pool.exchange(&peer, Method::POST, RELAY_PATH, body.clone(), limit).await;
-            match sent {
-                Ok((status, answer)) if status.is_success() => return read_relay(&answer),
-                // The peer did not reach the store, or is gone itself.
-                Ok(_) | Err(_) => {}
-            }
-            // A relayed call whose answer is lost may still take effect.
-            result = Err(StoreError::ReplyLost);
+        let body = serde_json::to_vec(&request).expect("relays serialize").into();
+        let sent = self.pool.exchange(peer, Method::POST, RELAY_PATH, body, limit).await;
+        match sent {
+            Ok((status, answer)) if status.is_success() => read_relay(&answer),
+            // The peer is cut off itself, and has sent nothing.
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => Err(StoreError::Unavailable),
+            Err(ExchangeError::NotSent(_)) => Err(StoreError::Unavailable),
+            Ok(_) | Err(_) => Err(StoreError::ReplyLost),
         }
-        self.health.borrow_mut().relay_failed = Some(Instant::now());
-        result
     }
 
-    fn note_direct(&self, result: &Result<(u16, Bytes), StoreError>) {
+    fn note_answer(&self, is_direct: bool, begun: Instant, call: &StoreCall) {
         let mut health = self.health.borrow_mut();
-        match (result, health.direct_failed) {
-            (Ok(_), Some(_)) => {
-                health.direct_failed = None;
-                log::info!("event=dependency_regained dependency=store way=direct");
-            }
-            (Err(StoreError::ReplyLost), None) if health.lost_in_row < LOST_LIMIT => {}
-            (Err(error), None) => {
-                health.direct_failed = Some(Instant::now());
-                log::warn!("event=dependency_lost dependency=store way=direct error=\"{error}\"");
-            }
-            (Ok(_), None) | (Err(_), Some(_)) => {}
+        health.answered = Some(Instant::now());
+        if !is_direct {
+            return;
+        }
+        health.direct_answered = Some(Instant::now());
+        // A held call's time tells how long nothing changed.
+        if call.hold.is_zero() {
+            let seconds = begun.elapsed().as_secs_f64();
+            health.latency += LATENCY_SHARE * (seconds - health.latency);
+        }
+        if health.direct_failed.take().is_some() {
+            log::info!("event=dependency_regained dependency=store way=direct");
         }
     }
 
-    fn note_any(&self, result: &Result<(u16, Bytes), StoreError>) {
+    /// A direct call failed. If another one was answered meanwhile, it was this one's bad luck: taken
+    /// for an outage, each lost answer would send all calls the long way for a while.
+    fn note_direct_failed(&self, begun: Instant, error: &StoreError) {
         let mut health = self.health.borrow_mut();
-        match (result, health.lost) {
-            (Ok(_), Some(since)) => {
-                let outage_ms = since.elapsed().as_millis();
-                health.lost = None;
-                log::info!("event=dependency_regained dependency=store outage_ms={outage_ms}");
-            }
-            (Err(_), None) if health.direct_failed.is_none() => {}
-            (Err(error), None) => {
-                health.lost = Some(Instant::now());
-                log::warn!("event=dependency_lost dependency=store error=\"{error}\"");
+        let answered = health.direct_answered.is_some_and(|at| at >= begun);
+        if answered || health.direct_failed.is_some() {
+            return;
+        }
+        health.direct_failed = Some(Instant::now());
+        log::warn!("event=dependency_lost dependency=store way=direct error=\"{error}\"");
+    }
+
+    /// No way brought an answer. From now on calls fail at once, until a probe finds the store.
+    fn note_failed(&self, begun: Instant) {
+        let mut health = self.health.borrow_mut();
+        let answered = health.answered.is_some_and(|at| at >= begun);
+        if answered || health.lost.is_some() {
+            return;
+        }
+        health.lost = Some(Instant::now());
+        log::warn!("event=dependency_lost dependency=store way=any");
+    }
+
+    /// Looks for the store while it is away. Probes overlap: one that hangs must not keep the next
+    /// from finding that the store is back.
+    pub(crate) async fn watch(self: Rc<Self>) {
+        loop {
+            sleep(PROBE_PACE).await;
+            if self.outage().is_some() {
+                actix_rt::spawn(self.clone().probe());
             }
-            (Ok(_), None) | (Err(_), Some(_)) => {}
+        }
+    }
+
+    async fn probe(self: Rc<Self>) {
+        let table = self.dialect.routes_table();
+        let call = self.dialect.changes_call(table, RowVersion::MAX / 2, Duration::ZERO);
+        if self.race(&call).await.is_err() {
+            return;
+        }
+        let lost = self.health.borrow_mut().lost.take();
+        if let Some(since) = lost {
+            let outage_ms = since.elapsed().as_millis();
+            log::info!("event=dependency_regained dependency=store way=any outage_ms={outage_ms}");
+            self.returned.notify_waiters();
         }
     }
 
@@ -283,7 +375,15 @@
             body: STANDARD.decode(&*request.body).map_err(|_| RelayError::Malformed)?.into(),
             hold: Duration::from_millis(request.hold_ms),
         };
-        let (status, body) = self.direct(&call).await.map_err(|_| RelayError::NoAnswer)?;
+        if self.health.borrow().direct_failed.is_some() {
+            return Err(RelayError::CutOff);
+        }
+        let limit = Instant::now() + call.hold + self.health.borrow().limit();
+        let way = StoreWay::Direct { fresh: false };
+        let (status, body) = self.send(way, &call, limit).await.map_err(|error| match error {
+            StoreError::Unavailable => RelayError::CutOff,
+            StoreError::ReplyLost | StoreError::Malformed { .. } => RelayError::NoAnswer,
+        })?;
         let reply = RelayReply { status, body: STANDARD.encode(&body).into() };
         Ok(serde_json::to_vec(&reply).expect("replies serialize").into())
     }
@@ -293,6 +393,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum RelayError {
     Malformed,
+    /// Nothing was sent: this instance does not reach the store either.
+    CutOff,
+    /// The call may have taken effect.
     NoAnswer,
 }
 
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::time::{Instant, sleep};
+use tokio::time::{Instant, sleep, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::committer::StoreCommitter;
@@ -369,6 +369,8 @@
                         return false;
                     }
                     sleep(RETRY_PAUSE).await;
+                    // Not later than the caller gives up, though nothing is lost by trying on.
+                    let _ = timeout_at(limit, self.store.reachable()).await;
                 }
             }
         }
