Space the second ways of a store call further apart each time

Cause: a store slowed 60-fold got each call up to four times (direct, fresh, two peers within 400 ms). Ruled out: lost probes (the store counted as away only for 20 to 240 ms at a time). Change: the wait before each further way is three times the last.

--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -32,6 +32,9 @@
 const HEDGE_DELAY_MIN: Duration = Duration::from_millis(100);
 const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
 const HEDGE_FACTOR: f64 = 4.0;
+/// Factor between one such wait and the next: a store that has turned slow must not get each call
+/// four times.
+const HEDGE_BACKOFF: u32 = 3;
 /// Share of the newest answer time in the usual one: about the last four count.
 const LATENCY_SHARE: f64 = 0.25;
 /// Peers asked for one call: with a third of the instances cut off, two find the way in 8 of 9.
@@ -203,6 +206,7 @@
         let mut ways = self.ways().into_iter();
         let mut running = FuturesUnordered::new();
         let mut next_at = Instant::now();
+        let mut delay = health.hedge_delay();
         let mut result = Err(StoreError::Unavailable);
         loop {
             if Instant::now() >= next_at || running.is_empty() {
@@ -211,7 +215,8 @@
                     None if running.is_empty() => return result,
                     None => {}
                 }
-                next_at = Instant::now() + call.hold + health.hedge_delay();
+                next_at = Instant::now() + call.hold + delay;
+                delay *= HEDGE_BACKOFF;
             }
             let wake = if ways.len() == 0 { limit } else { next_at.min(limit) };
             tokio::select! {
