Judge engines by the pace of their events

Change: the time between events, against the service's running mean, is an engine's pace; beyond 1.3 it costs. It fades in 3 s. Fresh beats of an upstream that change neither state nor address are not logged.

--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -28,7 +28,9 @@
 /// What an upstream that failed lately costs: it is taken only where there is no other.
 const ASIDE_COST_MS: f64 = 10_000.0;
 /// Usual time of a request apart from its prompt, in milliseconds; a slow upstream multiplies it.
-const WORK_COST_MS: f64 = 100.0;
+const WORK_COST_MS: f64 = 300.0;
+/// Slowness that is taken for chance: times of single requests differ by about as much.
+const PACE_TOLERANCE: f64 = 1.3;
 
 /// What a request asks of an upstream.
 #[derive(Clone, Copy)]
@@ -109,7 +111,8 @@
         cost += f64::from(known.health.running) * RUNNING_COST_MS;
         cost += known.work.at(request.now);
         cost += self.prefill_ms(known, request) * MOVE_FACTOR;
-        cost += (known.health.pace() - 1.0).max(0.0) * WORK_COST_MS;
+        let slowness = known.health.pace(request.now) - PACE_TOLERANCE;
+        cost += slowness.max(0.0) * WORK_COST_MS;
         cost += entry.warming.as_millis() as f64 / 10.0;
         if *entry.zone != *request.zone {
             cost += FAR_COST_MS;
--- a/src/core/upstreams/health.rs
+++ b/src/core/upstreams/health.rs
@@ -15,6 +15,9 @@
 const BROKEN_LIMIT: u32 = 2;
 /// Share of the newest measurement in the running mean: about the last four count.
 const PACE_SHARE: f64 = 0.25;
+/// Time in which what was measured fades to 1/e: an upstream that is passed over for being slow is
+/// tried again, and one that is still slow is found out by a few requests.
+const PACE_FADE: Duration = Duration::from_secs(3);
 
 /// How one attempt at an upstream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,7 +42,7 @@
     failures: u32,
     broken: u32,
     aside_until: Option<Instant>,
-    pace: Option<f64>,
+    pace: Option<(f64, Instant)>,
 }
 
 /// Work given to an upstream lately, fading with time: a rate, without counting it anew.
@@ -88,14 +91,16 @@
     }
 
     /// Notes a time measured against the usual one: 1.0 is usual.
-    pub fn measure(&mut self, ratio: f64) {
-        let pace = self.pace.unwrap_or(1.0);
-        self.pace = Some(pace + PACE_SHARE * (ratio - pace));
+    pub fn measure(&mut self, ratio: f64, now: Instant) {
+        let pace = self.pace(now);
+        self.pace = Some((pace + PACE_SHARE * (ratio - pace), now));
     }
 
     /// How slow it is; 1.0 is usual.
-    pub fn pace(&self) -> f64 {
-        self.pace.unwrap_or(1.0)
+    pub fn pace(&self, now: Instant) -> f64 {
+        let Some((pace, at)) = self.pace else { return 1.0 };
+        let age = now.saturating_duration_since(at).as_secs_f64() / PACE_FADE.as_secs_f64();
+        1.0 + (pace - 1.0) * (-age).exp()
     }
 
     pub fn is_aside(&self, now: Instant) -> bool {
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -7,10 +7,13 @@
 
 use super::{AttemptResult, PartId, RecentWork, UpstreamEntry, UpstreamHealth, UpstreamState};
 use crate::core::ids::UpstreamId;
+use crate::core::routing::ServiceName;
 
 /// Entries that lapse while the store is away return within about two seconds of its return; the
 /// rest is the way of the news to this instance.
 const RETURN_GRACE: Duration = Duration::from_millis(2_300);
+/// Share of the newest measurement in a service's running mean: some hundred count.
+const USUAL_SHARE: f64 = 0.01;
 /// Records of which upstream has read which part; 20,000 take some 2 MB.
 const MAX_RESIDENT: usize = 20_000;
 
@@ -40,6 +43,8 @@
     back_since: Option<Instant>,
     pub(super) resident: HashMap<PartId, BTreeSet<UpstreamId>>,
     resident_order: VecDeque<PartId>,
+    /// Running means of what is measured at each service's upstreams, in milliseconds.
+    usual: BTreeMap<ServiceName, f64>,
 }
 
 impl UpstreamTable {
@@ -75,7 +80,7 @@
             return true;
         };
         known.missing = false;
-        let changed = known.entry != entry;
+        let changed = known.entry.state != entry.state || known.entry.address != entry.address;
         // A draining upstream never returns; late news of an earlier state must not revive it.
         if known.entry.state == UpstreamState::Ready {
             known.entry = entry;
@@ -160,10 +165,14 @@
         }
     }
 
-    /// Notes a time measured against the usual one of the service.
-    pub fn measure(&mut self, id: &str, ratio: f64) {
-        if let Some(known) = self.upstreams.get_mut(id) {
-            known.health.measure(ratio);
+    /// Notes a time that tells how fast an upstream works, in milliseconds. It is held against the
+    /// usual one of its service.
+    pub fn measure(&mut self, id: &str, millis: f64, now: Instant) {
+        let Some(known) = self.upstreams.get_mut(id) else { return };
+        let usual = self.usual.entry(known.entry.service.clone()).or_insert(millis);
+        *usual += USUAL_SHARE * (millis - *usual);
+        if *usual > 0.0 {
+            known.health.measure(millis / *usual, now);
         }
     }
 
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -33,6 +33,8 @@
 const DEADLINE_RETRY: Duration = Duration::from_millis(500);
 /// Time left to the caller after a reservation is given up.
 const RESERVE_MARGIN: Duration = Duration::from_millis(200);
+/// Events of a stream whose pace says something about the engine.
+const MIN_PACED_EVENTS: u64 = 4;
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those the codec writes.
 const HOP_HEADERS: [&str; 10] = [
     "connection",
@@ -404,6 +406,7 @@
         let status = answer.head.status;
         let mut events = EventParser::default();
         let mut first = None;
+        let mut first_at = None;
         let headers = end_to_end(&answer.head.headers);
         // The declared length is not passed on: a turn's end must be withheld, and a body that
         // breaks off must not look complete.
@@ -420,12 +423,14 @@
                 turn.reservation.count(events.push(&chunk) * call.event_tokens);
             }
             first.get_or_insert_with(|| call.arrived.elapsed());
+            first_at.get_or_insert_with(Instant::now);
             if writer.chunk(chunk).await.is_err() {
                 return CallEnd::cut("caller_left", Some(upstream));
             }
         }
         answer.guard.record(AttemptResult::Answered);
         self.note_resident(call, &upstream);
+        self.note_pace(&upstream, first_at, events.events());
         let UpstreamAnswer { choice, connection, info, .. } = answer;
         self.pool.put(&choice.address, connection, info.keep_alive);
         if let Some(turn) = turn.filter(|_| status == StatusCode::OK) {
@@ -469,6 +474,19 @@
         CallEnd::cut("answer_broken", Some(answer.choice.id.clone()))
     }
 
+    /// Notes how fast an engine made its events. The time to the first one depends on the prompt,
+    /// and that of a plain service on the request; neither tells about the upstream.
+    fn note_pace(
+        &self,
+        upstream: &UpstreamId,
+        first_at: Option<Instant>,
+        events: u64,
+    ) {
+        let Some(first_at) = first_at.filter(|_| events >= MIN_PACED_EVENTS) else { return };
+        let millis = first_at.elapsed().as_secs_f64() * 1e3 / (events - 1) as f64;
+        self.news.upstreams.borrow_mut().measure(upstream, millis, Instant::now());
+    }
+
     /// Notes what the engine's memory now holds.
     fn note_resident(&self, call: &CallContext, upstream: &UpstreamId) {
         let mut upstreams = self.news.upstreams.borrow_mut();
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -59,6 +59,11 @@
         self.line.is_empty() && !self.in_event
     }
 
+    /// Events that have ended so far.
+    pub(crate) fn events(&self) -> u64 {
+        self.events
+    }
+
     /// The data of all events, each followed by a line feed.
     pub(crate) fn into_output(self) -> Bytes {
         self.output.freeze()
