Bound the gateway's log, stamp its lines, tell a request's story from log files

Cause: an explanation afterwards needs lines of several processes in order, and a stopped reader or a burst must not hold the loop up. Tests: a reader that stops, a burst of successes round one failure.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -29,7 +29,7 @@
         println!("{}: the settings are valid", args.settings.display());
         return Ok(());
     }
-    start_log_to_stdout();
+    start_log_to_stdout(&settings.instance);
     block_on(serve(args.settings, settings, dialect))
 }
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -16,6 +16,7 @@
 pub mod workspace;
 
 use std::io;
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use derive_more::{Display, Error, From};
 
@@ -74,9 +75,19 @@
 }
 
 /// Like [`start_log`], to standard output and without ever waiting for its reader.
-pub(crate) fn start_log_to_stdout() {
+pub(crate) fn start_log_to_stdout(instance: &str) {
     let target = env_logger::Target::Pipe(Box::new(LineSink::new(io::stdout())));
-    let _ = log_builder().target(target).try_init();
+    let instance: Box<str> = instance.into();
+    let _ = log_builder()
+        .target(target)
+        .format(move |buffer, record| {
+            use io::Write;
+            let time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+            let (seconds, micros) = (time.as_secs(), time.subsec_micros());
+            let (level, text) = (record.level(), record.args());
+            writeln!(buffer, "time={seconds}.{micros:06} instance={instance} level={level} {text}")
+        })
+        .try_init();
 }
 
 fn log_builder() -> env_logger::Builder {
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -1,16 +1,25 @@
 //! `merlinsaddle timeline`: the events of all instances in causal order.
 
+use std::path::PathBuf;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::table::print_json;
 use super::target::TargetArgs;
-use super::{CmdResult, block_on};
-use crate::core::timeline::{TimelineEvent, merge_events};
+use super::{CmdError, CmdResult, block_on};
+use crate::core::timeline::{LogLine, TimelineEvent, merge_events, tell_story};
 use crate::node::operators::{ClientError, OperatorClient};
 
 /// Show what happened on all instances, causes before effects.
+///
+/// With --logs, tell one request's or program's story from the log files of gateways.
 #[derive(Debug, clap::Args)]
 pub struct Args {
+    /// Log files of gateways, one or more.
+    #[arg(long, num_args = 1.., requires = "story")]
+    logs: Vec<PathBuf>,
+    /// The request, turn or program whose story the logs tell.
+    #[arg(long, requires = "logs")]
+    story: Option<Box<str>>,
     #[command(flatten)]
     target: TargetArgs,
     /// Only events of this program.
@@ -28,6 +37,9 @@
 }
 
 pub fn run(args: Args) -> CmdResult {
+    if let Some(id) = &args.story {
+        return print_story(&args.logs, id);
+    }
     let mut events = block_on(collect(&args))?;
     events.retain(|event| wanted(&args, event));
     if args.target.json {
@@ -40,6 +52,23 @@
     Ok(())
 }
 
+fn print_story(files: &[PathBuf], id: &str) -> CmdResult {
+    let mut lines = Vec::new();
+    for file in files {
+        let text = std::fs::read_to_string(file)
+            .map_err(|error| CmdError::failed(format!("{}: {error}", file.display())))?;
+        lines.extend(text.lines().filter_map(LogLine::parse));
+    }
+    let story = tell_story(lines, id);
+    if story.is_empty() {
+        return Err(CmdError::failed(format!("no line names '{id}'")));
+    }
+    for line in story {
+        println!("{}", line.text);
+    }
+    Ok(())
+}
+
 async fn collect(args: &Args) -> Result<Vec<TimelineEvent>, ClientError> {
     let after = args.last_seconds.map_or(0, |seconds| {
         let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/src/core/timeline/mod.rs
+++ b/src/core/timeline/mod.rs
@@ -1,5 +1,7 @@
 //! Events of one instance, stamped so that those of many instances merge in causal order.
 
+mod log_line;
+
 use std::collections::VecDeque;
 use std::fmt;
 use std::time::Duration;
@@ -9,6 +11,8 @@
 
 use super::ids::InstanceId;
 
+pub use log_line::{LogLine, tell_story};
+
 /// A hybrid logical clock reading: wall time, and a counter for what shares a microsecond.
 ///
 /// A message carries its sender's stamp and the receiver's clock moves past it, so an effect is
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -476,12 +476,7 @@
 
     /// Notes how fast an engine made its events. The time to the first one depends on the prompt,
     /// and that of a plain service on the request; neither tells about the upstream.
-    fn note_pace(
-        &self,
-        upstream: &UpstreamId,
-        first_at: Option<Instant>,
-        events: u64,
-    ) {
+    fn note_pace(&self, upstream: &UpstreamId, first_at: Option<Instant>, events: u64) {
         let Some(first_at) = first_at.filter(|_| events >= MIN_PACED_EVENTS) else { return };
         let millis = first_at.elapsed().as_secs_f64() * 1e3 / (events - 1) as f64;
         self.news.upstreams.borrow_mut().measure(upstream, millis, Instant::now());
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -126,7 +126,7 @@
         open_calls: Cell::new(0),
         calls_ended: Notify::new(),
     });
-    log::info!("event=started instance={}", gateway.settings.instance);
+    log::info!("event=started zone={}", gateway.settings.zone);
     actix_rt::spawn(members.run());
     actix_rt::spawn(news.clone().follow_routes());
     actix_rt::spawn(news.follow_upstreams());
@@ -148,7 +148,7 @@
         loop {
             if self.is_ready() && !announced {
                 announced = true;
-                log::info!("event=ready instance={}", self.settings.instance);
+                log::info!("event=ready");
                 self.members.announce(&self.settings.caller_address);
             }
             self.pool.prune();
--- a/src/util/line_sink.rs
+++ b/src/util/line_sink.rs
@@ -4,20 +4,35 @@
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
 use std::thread;
 
+use tokio::time::Instant;
+
+use super::line_budget::LineBudget;
+
 /// Lines that may wait for the reader; with some 300 bytes each they take 0.3 MB.
 const MAX_WAITING: usize = 1_024;
 
-/// Hands lines to a thread that writes them.
+/// Hands lines to a thread that writes them, within a budget.
 pub(crate) struct LineSink {
     lines: SyncSender<Vec<u8>>,
-    dropped: u64,
+    budget: LineBudget,
 }
 
 impl LineSink {
     pub(crate) fn new(to: impl Write + Send + 'static) -> Self {
         let (lines, waiting) = sync_channel(MAX_WAITING);
         thread::spawn(move || write_lines(waiting, to));
-        Self { lines, dropped: 0 }
+        Self { lines, budget: LineBudget::new(Instant::now()) }
+    }
+
+    fn tell_left_out(&mut self) {
+        let left_out = self.budget.take_left_out();
+        if left_out == 0 {
+            return;
+        }
+        let notice = format!("level=WARN event=log_lines_left_out count={left_out}\n");
+        if self.lines.try_send(notice.into_bytes()).is_err() {
+            (0..left_out).for_each(|_| self.budget.dropped());
+        }
     }
 }
 
@@ -32,15 +47,12 @@
 
 impl Write for LineSink {
     fn write(&mut self, line: &[u8]) -> io::Result<usize> {
-        if self.dropped > 0 {
-            let notice = format!("level=WARN event=log_lines_dropped count={}\n", self.dropped);
-            if self.lines.try_send(notice.into_bytes()).is_ok() {
-                self.dropped = 0;
+        if self.budget.admit(line, Instant::now()) {
+            self.tell_left_out();
+            if self.lines.try_send(line.to_vec()).is_err() {
+                self.budget.dropped();
             }
         }
-        if self.lines.try_send(line.to_vec()).is_err() {
-            self.dropped += 1;
-        }
         Ok(line.len())
     }
 
@@ -48,3 +60,7 @@
         Ok(())
     }
 }
+
+#[cfg(test)]
+#[path = "line_sink_tests.rs"]
+mod tests;
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod http_client;
 pub(crate) mod http_server;
+pub(crate) mod line_budget;
 pub(crate) mod line_sink;
 pub(crate) mod lines;
 pub(crate) mod rpc;
