Keep objects that a checkpoint without an answer may have put into rows

No outage: a segment object in use was deleted, so a program's history could not be read ("lacks the program's turns"). Objects are named by content; a checkpoint that could not store all its objects gave its names up although an earlier one with the same turns had put them into rows unanswered, and a later one used them again. Change: names of a plan leave the garbage when they are stored again; names of a transaction that was not seen to commit are never given up by a later failure. The gateway deletes no objects and cannot fall into this. Tests: the three sequences, seen failing first. Seeds of the fuzzer come from FUZZ_SEED; the bound on rejected steps grows with the cases.

--- a/src/node/ownership/checkpoint.rs
+++ b/src/node/ownership/checkpoint.rs
@@ -87,6 +87,7 @@
         let object = object_name("checkpoint", epoch, &body);
         let bytes = body.len() + plan.bytes();
         let puts = plan.objects.len() + 1;
+        self.reclaim_plan(&plan, &object);
         if let Err(error) = self.put_objects(&plan, &object, body.into()).await {
             self.discard_plan(&plan, &object, &BTreeSet::new());
             return Err(error);
@@ -110,6 +111,9 @@
         // A conflict is no proof that nothing was written: a table's client may have tried twice.
         if self.commit_fenced(&transaction).await == Ok(CommitReply::Committed) {
             self.discard_plan(&plan, &object, &included);
+        } else {
+            let names = plan.objects.iter().map(|part| part.name.clone());
+            self.segments.borrow_mut().leave_alone(names.chain([object.clone()]));
         }
         self.reread_shards(&shards).await?;
         let written: Vec<ShardId> = {
@@ -151,6 +155,16 @@
         self.objects.put(object, body).await
     }
 
+    /// Takes the objects of a plan back from what may be deleted.
+    ///
+    /// They are named by content. A checkpoint whose objects could not all be stored gave its names
+    /// up; the next one, with the same turns, uses them again. If its reply is lost and a shard moves
+    /// on with them, nobody here sees that they are in use: deleted, that history would be gone.
+    fn reclaim_plan(&self, plan: &SegmentPlan, object: &ObjectName) {
+        let mut index = self.segments.borrow_mut();
+        index.reclaim(plan.objects.iter().map(|part| &part.name).chain([object]));
+    }
+
     /// Gives up the objects of a plan, except for those of `included` shards.
     fn discard_plan(&self, plan: &SegmentPlan, object: &ObjectName, included: &BTreeSet<ShardId>) {
         let unused = plan.objects.iter().filter(|part| !included.contains(&part.shard));
--- a/src/node/ownership/segments.rs
+++ b/src/node/ownership/segments.rs
@@ -118,6 +118,8 @@
     shards: BTreeMap<ShardId, BTreeSet<ObjectName>>,
     /// Objects that the next successful checkpoint may delete unless a row names them.
     garbage: BTreeSet<ObjectName>,
+    /// Objects of checkpoints whose transaction may have taken effect.
+    unanswered: BTreeSet<ObjectName>,
 }
 
 impl SegmentIndex {
@@ -136,8 +138,24 @@
     ///
     /// Those of a checkpoint whose transaction went unanswered are not among them: it may have
     /// taken effect, and a shard may have moved on with references to them. They are left alone.
+    ///
+    /// A later checkpoint with the same turns has objects of the same names. If it fails before its
+    /// transaction, it would else give up what the earlier one may have put into rows.
     pub(super) fn discard(&mut self, objects: impl IntoIterator<Item = ObjectName>) {
-        self.garbage.extend(objects);
+        let unused = objects.into_iter().filter(|object| !self.unanswered.contains(object));
+        self.garbage.extend(unused);
+    }
+
+    /// Keeps objects that rows may name, though nobody here has seen it.
+    pub(super) fn leave_alone(&mut self, objects: impl IntoIterator<Item = ObjectName>) {
+        self.unanswered.extend(objects);
+    }
+
+    /// Objects that are about to be stored, again perhaps, and referred to.
+    pub(super) fn reclaim<'a>(&mut self, objects: impl IntoIterator<Item = &'a ObjectName>) {
+        for object in objects {
+            self.garbage.remove(object);
+        }
     }
 
     /// A checkpoint stands in the rows of these shards. `former` are objects they named before.
@@ -153,6 +171,7 @@
             let used: BTreeSet<ObjectName> = lists
                 .flat_map(|list| list.segments.iter().map(|segment| segment.object.clone()))
                 .collect();
+            self.unanswered.retain(|object| !used.contains(object));
             let former = self.shards.insert(*shard, used.clone()).unwrap_or_default();
             self.garbage.extend(former.difference(&used).cloned());
             self.garbage.retain(|object| !used.contains(object));
--- a/tests/fuzz.rs
+++ b/tests/fuzz.rs
@@ -1,6 +1,7 @@
 //! Stateful fuzzing of whole nodes against a plain list of turns.
 //!
-//! `FUZZ_CASES=2000 cargo test --release --test fuzz` makes the run long.
+//! `FUZZ_SEED=11 FUZZ_CASES=4000 cargo test --release --test fuzz` makes the run long and draws
+//! other steps; without them the run is the same each time.
 
 mod support;
 
@@ -16,6 +17,7 @@
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
+use rstest::rstest;
 use support::recorder::{AttemptResult, ProgramRecorder, final_turns};
 use support::{TestCluster, booking, lose_replies, model_call, outage, paused_runtime};
 use tokio::time::sleep;
@@ -268,15 +270,44 @@
     run_steps(steps.concat());
 }
 
+/// Found by the fuzzer: replies to one instance's writes are lost while others freeze, die and
+/// start. Afterwards every call was refused for want of the store, long after it answered again.
+#[rstest]
+#[case::frozen_and_killed(vec![
+    FuzzStep::Call(0), FuzzStep::Call(0), FuzzStep::Freeze(0), FuzzStep::Wait(1519),
+    FuzzStep::Call(0), FuzzStep::Call(1), FuzzStep::LoseReplies(2, 6), FuzzStep::Wait(1190),
+    FuzzStep::Freeze(1), FuzzStep::Freeze(2), FuzzStep::Call(2), FuzzStep::Kill(0),
+    FuzzStep::Call(1), FuzzStep::Start(0), FuzzStep::Call(0), FuzzStep::Thaw(2),
+    FuzzStep::Wait(1500),
+])]
+#[case::outage_and_slow_objects(vec![
+    FuzzStep::Freeze(0), FuzzStep::Wait(4699), FuzzStep::Call(1), FuzzStep::StoreOutage(true),
+    FuzzStep::Call(1), FuzzStep::LoseReplies(2, 16), FuzzStep::SlowObjects(2),
+    FuzzStep::Wait(3486), FuzzStep::StoreOutage(false), FuzzStep::Call(1), FuzzStep::Wait(2786),
+    FuzzStep::Kill(0), FuzzStep::Kill(1), FuzzStep::Start(0),
+])]
+#[case::kills_in_series(vec![
+    FuzzStep::Call(0), FuzzStep::Kill(0), FuzzStep::LoseReplies(1, 26), FuzzStep::Call(2),
+    FuzzStep::Kill(2), FuzzStep::Start(2), FuzzStep::Wait(4424), FuzzStep::Call(1),
+    FuzzStep::Start(0), FuzzStep::Call(0), FuzzStep::Kill(0), FuzzStep::Repeat(1, 3),
+    FuzzStep::StoreOutage(true), FuzzStep::Wait(3716), FuzzStep::Wait(4258),
+    FuzzStep::LoseReplies(2, 6), FuzzStep::Wait(2276), FuzzStep::Start(0), FuzzStep::Wait(5251),
+])]
+fn lost_replies_do_not_leave_an_outage_behind(#[case] steps: Vec<FuzzStep>) {
+    run_steps(steps);
+}
+
 /// A fixed seed and few cases, so that each run gives the same verdict in little time.
 fn config() -> Config {
     let cases = std::env::var("FUZZ_CASES").ok().and_then(|text| text.parse().ok()).unwrap_or(32);
-    let rng_seed = RngSeed::Fixed(7);
+    let seed = std::env::var("FUZZ_SEED").ok().and_then(|text| text.parse().ok()).unwrap_or(7);
     Config {
         cases,
-        rng_seed,
+        rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
         max_shrink_iters: 400,
+        // Some 15 steps are rejected a case, as they do not fit the model's state.
+        max_local_rejects: cases.saturating_mul(100).max(65_536),
         ..Config::default()
     }
 }
