Remove programs whose turns have expired; drop what is cached of them

Cause: rows of programs were never deleted. Change: a ledger says until when, by the store's clock, its turns are kept; naming a turn of another program keeps that one too. Found by its test, seen failing twice: a cached turn did not tell which program made it, so a named turn was removed; an instance with a removed program in its cache retried its write until the deadline (503 instead of 404).

--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -55,7 +55,7 @@
     /// The service for a request, by a number drawn evenly from the whole range of `u32`.
     pub fn service(&self, draw: u32) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
-        let mut point = u64::from(draw) * total >> 32;
+        let mut point = (u64::from(draw) * total) >> 32;
         for (service, weight) in &self.targets {
             if point < u64::from(*weight) {
                 return Some(service);
--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -48,6 +49,11 @@
         self.services.get(name)
     }
 
+    /// Longest time that turns of any route are kept; none if no route keeps them.
+    pub fn retention(&self) -> Option<Duration> {
+        self.hosts.values().flatten().filter_map(|route| route.retention).max()
+    }
+
     pub fn route_count(&self) -> usize {
         self.hosts.values().map(Vec::len).sum()
     }
--- a/src/core/turns/cache.rs
+++ b/src/core/turns/cache.rs
@@ -17,6 +17,13 @@
     Missing(TurnId),
 }
 
+#[derive(Debug)]
+struct CachedTurn {
+    record: Rc<TurnRecord>,
+    /// The program that made it.
+    program: ProgramName,
+}
+
 #[derive(Debug, Default)]
 struct CachedProgram {
     turns: Vec<TurnId>,
@@ -29,7 +36,7 @@
 #[derive(Debug)]
 pub struct TurnCache {
     /// By turn alone: a program may go on from a turn of another one.
-    turns: HashMap<TurnId, Rc<TurnRecord>>,
+    turns: HashMap<TurnId, CachedTurn>,
     programs: HashMap<ProgramName, CachedProgram>,
     /// Programs by last use.
     order: BTreeMap<u64, ProgramName>,
@@ -58,9 +65,9 @@
         let mut chain = Vec::new();
         let mut next = Some(turn.clone());
         while let Some(id) = next {
-            let Some(record) = self.turns.get(&id) else { return ChainLookup::Missing(id) };
-            chain.push(record.clone());
-            next = record.previous.clone();
+            let Some(turn) = self.turns.get(&id) else { return ChainLookup::Missing(id) };
+            chain.push(turn.record.clone());
+            next = turn.record.previous.clone();
         }
         chain.reverse();
         ChainLookup::Whole(chain)
@@ -69,7 +76,8 @@
     /// Adds a turn that `program` made.
     pub fn insert(&mut self, program: &ProgramName, turn: TurnId, record: Rc<TurnRecord>) {
         let size = record.bytes() + ENTRY_OVERHEAD;
-        if self.turns.insert(turn.clone(), record).is_none() {
+        let cached = CachedTurn { record, program: program.clone() };
+        if self.turns.insert(turn.clone(), cached).is_none() {
             let cached = self.programs.entry(program.clone()).or_default();
             cached.turns.push(turn);
             cached.bytes += size;
@@ -79,6 +87,11 @@
         self.evict();
     }
 
+    /// The program that made a turn, if the turn is here.
+    pub fn program_of(&self, turn: &TurnId) -> Option<ProgramName> {
+        self.turns.get(turn).map(|turn| turn.program.clone())
+    }
+
     /// The ledger as it was last read or written here.
     pub fn ledger(&self, program: &str) -> Option<(RowVersion, ProgramLedger)> {
         self.programs.get(program)?.ledger.clone()
@@ -98,6 +111,20 @@
         self.touch(program);
     }
 
+    /// Drops all that is known of a program.
+    pub fn forget(&mut self, program: &str) {
+        let Some(cached) = self.programs.remove(program) else { return };
+        self.order.remove(&cached.used);
+        self.drop_turns(cached);
+    }
+
+    fn drop_turns(&mut self, cached: CachedProgram) {
+        self.bytes -= cached.bytes;
+        for turn in cached.turns {
+            self.turns.remove(&turn);
+        }
+    }
+
     /// Text the cache holds, in bytes.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -116,10 +143,7 @@
         while self.bytes > self.max_bytes && self.order.len() > 1 {
             let Some((_, program)) = self.order.pop_first() else { return };
             let Some(cached) = self.programs.remove(&program) else { continue };
-            self.bytes -= cached.bytes;
-            for turn in cached.turns {
-                self.turns.remove(&turn);
-            }
+            self.drop_turns(cached);
         }
     }
 }
--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -17,6 +17,9 @@
     spent: Tokens,
     #[serde(rename = "o", default)]
     open: BTreeMap<TurnId, Tokens>,
+    /// Until when turns may be gone on from, in milliseconds of the store's clock.
+    #[serde(rename = "k", default)]
+    kept_until: u64,
 }
 
 /// Whether a turn may run.
@@ -55,6 +58,15 @@
         reserved
     }
 
+    /// Keeps the program's turns until a time of the store's clock at least, in milliseconds.
+    pub fn keep_until(&mut self, millis: u64) {
+        self.kept_until = self.kept_until.max(millis);
+    }
+
+    pub fn kept_until(&self) -> u64 {
+        self.kept_until
+    }
+
     /// Whether a turn's tokens are set aside.
     pub fn is_open(&self, turn: &TurnId) -> bool {
         self.open.contains_key(turn)
--- a/src/core/turns/record.rs
+++ b/src/core/turns/record.rs
@@ -89,10 +89,6 @@
 
 /// Cuts a value of `len` bytes into ranges of at most `most` bytes; an empty value is one range.
 pub fn split_value(len: usize, most: usize) -> Vec<Range<usize>> {
-    let mut ranges = vec![0..len.min(most)];
-    while let Some(last) = ranges.last().filter(|last| last.end < len) {
-        let start = last.end;
-        ranges.push(start..(start + most).min(len));
-    }
-    ranges
+    let starts = (0..len.max(1)).step_by(most);
+    starts.map(|start| start..(start + most).min(len)).collect()
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -16,7 +16,9 @@
 use super::http::{AnswerError, CallerReader, CallerRequest, CallerWriter};
 use super::metrics::CallSample;
 use super::refusal::Refusal;
-use super::turns::{ChainError, MAX_NAME_BYTES, ReserveError, TurnChain, TurnReservation};
+use super::turns::{
+    ChainError, MAX_NAME_BYTES, ReserveError, TurnChain, TurnClaim, TurnReservation,
+};
 use crate::core::ids::{RequestId, Tokens, UpstreamId};
 use crate::core::routing::{RouteSpec, RouteTable, ServiceName};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
@@ -33,6 +35,8 @@
 const DEADLINE_RETRY: Duration = Duration::from_millis(500);
 /// Time left to the caller after a reservation is given up.
 const RESERVE_MARGIN: Duration = Duration::from_millis(200);
+/// Times a turn is prepared before what it continues from counts as gone.
+const CLAIM_TRIES: usize = 3;
 /// Events of a stream whose pace says something about the engine.
 const MIN_PACED_EVENTS: u64 = 4;
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those the codec writes.
@@ -310,13 +314,9 @@
         if call.id.len() > MAX_NAME_BYTES || program.len() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
-        let chain = match &call.head.previous {
-            Some(previous) => self.read_chain(&program, previous).await?,
-            None => TurnChain::default(),
-        };
+        let (chain, reservation) = self.claim_turn(call, &program).await?;
         let holder = chain.turns.last().map(|turn| turn.upstream.clone());
         let body = chain_body(&chain.turns, &call.body);
-        let reservation = self.reserve(call, &program).await?;
         let turn = TurnWork {
             previous: call.head.previous.clone(),
             origin: chain.origin,
@@ -326,37 +326,69 @@
         Ok((turn, call.with_chain(body, holder)))
     }
 
-    async fn read_chain(
+    /// Reads what a turn continues from and sets its tokens aside, anew if it has expired since it
+    /// was seen here.
+    async fn claim_turn(
         &self,
+        call: &CallContext,
         program: &ProgramName,
-        previous: &TurnId,
-    ) -> Result<TurnChain, Refusal> {
-        self.turns.chain(program, previous).await.map_err(|error| match error {
-            ChainError::NoSuchTurn => Refusal::rejected(StatusCode::NOT_FOUND, "no_such_turn"),
-            ChainError::Store(error) => self.store_refusal(&error),
-        })
+    ) -> Result<(TurnChain, TurnReservation), Refusal> {
+        let not_found = || Refusal::rejected(StatusCode::NOT_FOUND, "no_such_turn");
+        for _ in 0..CLAIM_TRIES {
+            let chain = match &call.head.previous {
+                Some(previous) => self.turns.chain(program, previous).await,
+                None => Ok(TurnChain::default()),
+            };
+            let chain = chain.map_err(|error| match error {
+                ChainError::NoSuchTurn => not_found(),
+                ChainError::Store(error) => self.store_refusal(&error),
+            })?;
+            match self.reserve(call, program, &chain).await {
+                Ok(reservation) => return Ok((chain, reservation)),
+                Err(ReserveError::Expired) => {}
+                Err(error) => return Err(self.reserve_refusal(call, program, error)),
+            }
+        }
+        Err(not_found())
     }
 
     async fn reserve(
         &self,
         call: &CallContext,
         program: &ProgramName,
-    ) -> Result<TurnReservation, Refusal> {
+        chain: &TurnChain,
+    ) -> Result<TurnReservation, ReserveError> {
+        let retention = call.route.retention.unwrap_or_default();
+        for origin in chain.origins() {
+            self.turns.keep(&origin, retention, call.deadline).await?;
+        }
         let budget = call.head.token_budget.unwrap_or(Tokens::MAX);
         let most = call.head.max_output.unwrap_or(0);
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
-        let reserved = self.turns.reserve(program, &call.id, most, budget, limit).await;
-        reserved.map_err(|error| match error {
+        let claim = TurnClaim { most, budget, retention };
+        self.turns.reserve(program, &call.id, claim, limit).await
+    }
+
+    fn reserve_refusal(
+        &self,
+        call: &CallContext,
+        program: &ProgramName,
+        error: ReserveError,
+    ) -> Refusal {
+        match error {
             ReserveError::Exhausted { committed } => {
                 log::info!(
-                    "event=budget_exhausted request={} program={program} budget={budget} \
-                     committed={committed} most={most}",
-                    call.id
+                    "event=budget_exhausted request={} program={program} budget={} \
+                     committed={committed} most={}",
+                    call.id,
+                    call.head.token_budget.unwrap_or(Tokens::MAX),
+                    call.head.max_output.unwrap_or(0)
                 );
                 Refusal::rejected(StatusCode::PAYMENT_REQUIRED, "budget_exhausted")
             }
+            ReserveError::Expired => Refusal::rejected(StatusCode::NOT_FOUND, "no_such_turn"),
             ReserveError::Store(error) => self.store_refusal(&error),
-        })
+        }
     }
 
     /// Nothing was sent to an upstream, so the caller may come back.
--- a/src/gateway/committer.rs
+++ b/src/gateway/committer.rs
@@ -32,22 +32,14 @@
 /// Collects transactions and commits them together.
 pub(crate) struct StoreCommitter {
     store: Rc<StoreLink>,
-    /// Whether the store takes transactions over several parts.
-    across: bool,
     queue: RefCell<Vec<QueuedCommit>>,
     queued: Notify,
     batches: Cell<u64>,
 }
 
 impl StoreCommitter {
-    pub(crate) fn new(store: Rc<StoreLink>, across: bool) -> Self {
-        Self {
-            store,
-            across,
-            queue: RefCell::default(),
-            queued: Notify::new(),
-            batches: Cell::new(0),
-        }
+    pub(crate) fn new(store: Rc<StoreLink>) -> Self {
+        Self { store, queue: RefCell::default(), queued: Notify::new(), batches: Cell::new(0) }
     }
 
     /// Transactions sent so far.
@@ -61,7 +53,7 @@
         transaction: RowTransaction,
         patience: Duration,
     ) -> CommitResult {
-        if !self.across {
+        if !self.store.takes_across() {
             return self.commit_by_part(&transaction).await;
         }
         let (reply, answered) = oneshot::channel();
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -108,6 +108,10 @@
     fn range_call(&self, range: &RowRange) -> StoreCall;
     fn range_reply(&self, status: u16, body: &[u8]) -> Result<RangeReply, StoreError>;
 
+    /// Asks for the names of a table's parts, those after one of them.
+    fn parts_call(&self, table: &str, after: Option<&str>) -> StoreCall;
+    fn parts_reply(&self, status: u16, body: &[u8]) -> Result<Vec<Box<str>>, StoreError>;
+
     /// Asks what changed in a table after a version; the store waits up to `wait` for something.
     fn changes_call(&self, table: &str, after: RowVersion, wait: Duration) -> StoreCall;
     fn changes_reply(&self, status: u16, body: &[u8]) -> Result<ChangesReply, StoreError>;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -20,6 +20,7 @@
 mod settings;
 mod stop;
 mod store;
+mod sweep;
 mod sync;
 mod turns;
 
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::settings::GatewaySettings;
 use super::stop::StopState;
 use super::store::StoreLink;
+use super::sweep::ProgramSweeper;
 use super::sync::StoreNews;
 use super::turns::TurnKeeper;
 use crate::node::LaunchError;
@@ -101,13 +102,14 @@
     seed: u64,
 ) -> RunningGateway {
     let pool = Rc::new(ConnectionPool::default());
-    let store = Rc::new(StoreLink::new(&settings.store_address, pool.clone(), dialect.clone()));
+    let across = settings.store_across_parts.unwrap_or(false);
+    let address = &settings.store_address;
+    let store = Rc::new(StoreLink::new(address, pool.clone(), dialect.clone(), across));
     let members = Rc::new(MemberView::new(&settings, sockets.gossip, seed));
     store.set_peers(members.clone());
     let news = Rc::new(StoreNews::new(store.clone(), dialect.clone()));
     let cache_bytes = settings.cache_bytes();
-    let across = settings.store_across_parts.unwrap_or(false);
-    let committer = Rc::new(StoreCommitter::new(store.clone(), across));
+    let committer = Rc::new(StoreCommitter::new(store.clone()));
     actix_rt::spawn(committer.clone().run());
     actix_rt::spawn(store.clone().watch());
     let row_bytes = settings.store_row_bytes;
@@ -127,6 +129,9 @@
         calls_ended: Notify::new(),
     });
     log::info!("event=started zone={}", gateway.settings.zone);
+    let instance = gateway.settings.instance.clone();
+    let sweeper = ProgramSweeper::new(instance, gateway.store.clone(), news.clone());
+    actix_rt::spawn(sweeper.run());
     actix_rt::spawn(members.run());
     actix_rt::spawn(news.clone().follow_routes());
     actix_rt::spawn(news.follow_upstreams());
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -117,6 +117,9 @@
     health: RefCell<StoreHealth>,
     returned: Notify,
     calls: Cell<u64>,
+    /// The store's clock and when it was read.
+    clock: Cell<Option<(Duration, Instant)>>,
+    across: bool,
 }
 
 impl StoreLink {
@@ -124,6 +127,7 @@
         address: &str,
         pool: Rc<ConnectionPool>,
         dialect: Rc<dyn GatewayDialect>,
+        across: bool,
     ) -> Self {
         Self {
             address: address.into(),
@@ -133,6 +137,8 @@
             health: RefCell::default(),
             returned: Notify::new(),
             calls: Cell::new(0),
+            clock: Cell::new(None),
+            across,
         }
     }
 
@@ -173,7 +179,30 @@
 
     pub(crate) async fn range(&self, range: &RowRange) -> Result<RangeReply, StoreError> {
         let (status, body) = self.call(&self.dialect.range_call(range)).await?;
-        self.dialect.range_reply(status, &body)
+        let reply = self.dialect.range_reply(status, &body)?;
+        self.clock.set(Some((reply.now, Instant::now())));
+        Ok(reply)
+    }
+
+    /// Names of a table's parts after one of them, a page.
+    pub(crate) async fn parts(
+        &self,
+        table: &str,
+        after: Option<&str>,
+    ) -> Result<Vec<Box<str>>, StoreError> {
+        let (status, body) = self.call(&self.dialect.parts_call(table, after)).await?;
+        self.dialect.parts_reply(status, &body)
+    }
+
+    /// The store's steady clock, in milliseconds, as far as its last page of rows tells.
+    pub(crate) fn now_millis(&self) -> u64 {
+        let now = self.clock.get().map_or(Duration::ZERO, |(now, read)| now + read.elapsed());
+        now.as_millis() as u64
+    }
+
+    /// Whether transactions may concern several parts.
+    pub(crate) fn takes_across(&self) -> bool {
+        self.across
     }
 
     pub(crate) async fn changes(
--- a/src/gateway/turns.rs
+++ b/src/gateway/turns.rs
@@ -1,7 +1,7 @@
 //! Keeps turns: reads chains, sets tokens aside before a turn runs, and writes what it became.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,13 +20,13 @@
 use crate::node::platform::StoreError;
 
 /// Table with the rows of programs; each program is a part of it.
-const TABLE: &str = "programs";
+pub(crate) const TABLE: &str = "programs";
 /// Table that names the program of each turn.
 const INDEX_TABLE: &str = "turn-programs";
 /// Parts of the index: enough that none of them takes more than a few writes a second.
 const INDEX_PARTS: u64 = 256;
 /// Key of a program's ledger; it sorts before the turns.
-const LEDGER_KEY: &str = "ledger";
+pub(crate) const LEDGER_KEY: &str = "ledger";
 /// Keys of turns: this, the turn's id, and the number of the piece.
 const TURN_PREFIX: &str = "t/";
 /// Text that a row keeps free for the store's own fields, in bytes.
@@ -59,10 +59,33 @@
     pub(crate) origin: Option<ProgramName>,
 }
 
+impl TurnChain {
+    /// Other programs whose turns it goes on from.
+    pub(crate) fn origins(&self) -> BTreeSet<ProgramName> {
+        let earlier = self.turns.iter().filter_map(|turn| turn.origin.clone());
+        earlier.chain(self.origin.clone()).collect()
+    }
+}
+
+/// What a turn wants set aside.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct TurnClaim {
+    /// Most tokens it generates.
+    pub(crate) most: Tokens,
+    /// Tokens of the whole program.
+    pub(crate) budget: Tokens,
+    /// How long the program's turns are kept from now on.
+    pub(crate) retention: Duration,
+}
+
 /// Why a turn may not run.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) enum ReserveError {
-    Exhausted { committed: Tokens },
+    Exhausted {
+        committed: Tokens,
+    },
+    /// What is known here of the program is out of date: it has expired and was removed.
+    Expired,
     Store(StoreError),
 }
 
@@ -142,24 +165,17 @@
         program: &ProgramName,
         turn: &TurnId,
     ) -> Result<TurnChain, ChainError> {
-        let mut origin = program.clone();
         let mut loaded: Vec<ProgramName> = Vec::new();
         loop {
             let missing = match self.lookup(turn) {
-                ChainLookup::Whole(turns) => {
-                    self.cache.borrow_mut().touch(&origin);
-                    let origin = (origin != *program).then_some(origin);
-                    return Ok(TurnChain { turns, origin });
-                }
+                ChainLookup::Whole(turns) => return Ok(self.whole_chain(program, turn, turns)),
                 ChainLookup::Missing(missing) => missing,
             };
-            let mut next = program.clone();
-            if loaded.contains(program) {
-                next = self.program_of(&missing).await?;
-                if missing == *turn {
-                    origin = next.clone();
-                }
-            }
+            let next = if loaded.contains(program) {
+                self.program_of(&missing).await?
+            } else {
+                program.clone()
+            };
             if loaded.contains(&next) {
                 return Err(ChainError::NoSuchTurn);
             }
@@ -168,6 +184,20 @@
         }
     }
 
+    fn whole_chain(
+        &self,
+        program: &ProgramName,
+        turn: &TurnId,
+        turns: Vec<Rc<TurnRecord>>,
+    ) -> TurnChain {
+        let mut cache = self.cache.borrow_mut();
+        let maker = cache.program_of(turn);
+        if let Some(maker) = &maker {
+            cache.touch(maker);
+        }
+        TurnChain { turns, origin: maker.filter(|maker| maker != program) }
+    }
+
     fn lookup(&self, turn: &TurnId) -> ChainLookup {
         self.cache.borrow().chain(turn)
     }
@@ -231,6 +261,25 @@
         }
     }
 
+    /// Takes the rows of a conflict about a program's ledger; true if the ledger is gone.
+    ///
+    /// An expired program was removed while its turns still lay in this cache. Going on from them
+    /// would write a turn whose history is nowhere, so all that is known of it is dropped.
+    fn take_conflict(
+        &self,
+        program: &ProgramName,
+        expected: RowVersion,
+        rows: Vec<StoredRow>,
+    ) -> bool {
+        let gone = expected > 0 && !rows.iter().any(|row| &*row.key.key == LEDGER_KEY);
+        if gone {
+            self.cache.borrow_mut().forget(program);
+        }
+        let ledgers = rows.into_iter().filter(|row| &*row.key.key == LEDGER_KEY);
+        self.take_rows(program, ledgers.collect());
+        gone
+    }
+
     fn take_ledger(&self, program: &ProgramName, version: RowVersion, value: &[u8]) {
         match serde_json::from_slice(value) {
             Ok(ledger) => self.cache.borrow_mut().set_ledger(program, version, ledger),
@@ -252,14 +301,14 @@
         self: &Rc<Self>,
         program: &ProgramName,
         turn: &TurnId,
-        most: Tokens,
-        budget: Tokens,
+        claim: TurnClaim,
         limit: Instant,
     ) -> Result<TurnReservation, ReserveError> {
         let mut fresh = false;
         loop {
             let (version, mut ledger) = self.ledger(program);
-            let reply = ledger.reserve(turn, most, budget);
+            ledger.keep_until(self.kept_until(claim.retention));
+            let reply = ledger.reserve(turn, claim.most, claim.budget);
             if let ReserveReply::Exhausted { committed, lasting } = reply {
                 if fresh || lasting {
                     return Err(ReserveError::Exhausted { committed });
@@ -281,7 +330,9 @@
                     return Ok(self.reservation(program, turn));
                 }
                 Ok(CommitReply::Conflict(rows)) => {
-                    self.take_rows(program, rows);
+                    if self.take_conflict(program, version, rows) {
+                        return Err(ReserveError::Expired);
+                    }
                     fresh = true;
                     if self.ledger(program).1.is_open(turn) {
                         return Ok(self.reservation(program, turn));
@@ -301,6 +352,45 @@
         }
     }
 
+    /// When what is used now expires, by the store's clock.
+    fn kept_until(&self, retention: Duration) -> u64 {
+        self.store.now_millis() + retention.as_millis() as u64
+    }
+
+    /// Keeps another program's turns as long as those that go on from them.
+    pub(crate) async fn keep(
+        &self,
+        program: &ProgramName,
+        retention: Duration,
+        limit: Instant,
+    ) -> Result<(), ReserveError> {
+        loop {
+            let (version, mut ledger) = self.ledger(program);
+            ledger.keep_until(self.kept_until(retention));
+            let key = row_key(program, LEDGER_KEY);
+            let transaction = RowTransaction {
+                checks: vec![(key.clone(), version)],
+                puts: vec![(key, ledger_value(&ledger))],
+                removals: Vec::new(),
+            };
+            match self.committer.commit(transaction, RESERVE_PATIENCE).await {
+                Ok(CommitReply::Committed(version)) => {
+                    self.cache.borrow_mut().set_ledger(program, version, ledger);
+                    return Ok(());
+                }
+                Ok(CommitReply::Conflict(rows)) => {
+                    if self.take_conflict(program, version, rows) {
+                        return Err(ReserveError::Expired);
+                    }
+                }
+                Err(StoreError::ReplyLost) if Instant::now() + RETRY_PAUSE < limit => {
+                    sleep(RETRY_PAUSE).await;
+                }
+                Err(error) => return Err(ReserveError::Store(error)),
+            }
+        }
+    }
+
     fn reservation(self: &Rc<Self>, program: &ProgramName, turn: &TurnId) -> TurnReservation {
         TurnReservation {
             keeper: self.clone(),
@@ -353,8 +443,7 @@
                         row.version > 0 && pieces.first().is_some_and(|(key, _)| *key == row.key)
                     };
                     let written = rows.iter().any(stands);
-                    let rows = rows.into_iter().filter(|row| &*row.key.key == LEDGER_KEY);
-                    self.take_rows(program, rows.collect());
+                    self.take_conflict(program, version, rows);
                     // An earlier try took effect, and only its reply was lost.
                     let closed = record.is_none() && !self.ledger(program).1.is_open(turn);
                     if written || closed {
@@ -397,16 +486,16 @@
     }
 }
 
-fn row_key(program: &ProgramName, key: &str) -> RowKey {
+pub(crate) fn row_key(program: &ProgramName, key: &str) -> RowKey {
     RowKey { table: TABLE.into(), part: program.clone(), key: key.into() }
 }
 
-fn index_key(turn: &TurnId) -> RowKey {
+pub(crate) fn index_key(turn: &TurnId) -> RowKey {
     let part = xxh3_64(turn.as_bytes()) % INDEX_PARTS;
     RowKey { table: INDEX_TABLE.into(), part: format!("{part:02x}").into(), key: turn.clone() }
 }
 
-fn parse_turn_key(key: &str) -> Option<(TurnId, usize)> {
+pub(crate) fn parse_turn_key(key: &str) -> Option<(TurnId, usize)> {
     let (turn, piece) = key.strip_prefix(TURN_PREFIX)?.rsplit_once('/')?;
     Some((turn.into(), piece.parse().ok()?))
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,9 +38,7 @@
 
 fn main() -> ExitCode {
     let result = match Args::parse().command {
-        Command::Gateway(args) => {
-            cmd::gateway::run(args, Rc::new(platform::PlatformDialect::default()))
-        }
+        Command::Gateway(args) => cmd::gateway::run(args, Rc::new(platform::PlatformDialect)),
         Command::Serve(args) => cmd::serve::run(args),
         Command::StandIn(args) => cmd::stand_in::run(args),
         Command::Workspace(args) => cmd::workspace::run(args),
