Split calls and turns by job; look at the settings file without a signal; tests of the new core

No behaviour changes but two: the settings file is looked at every 2 s, as it may change without a signal, and the first log line names the addresses.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,10 +1,12 @@
 //! `merlinsaddle gateway`: serves callers of a platform until it is told to stop.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
+use std::time::{Duration, SystemTime};
 
 use rand::random;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
 
 use super::{CmdError, CmdResult, block_on, start_log_to_stdout};
 use crate::gateway::dialect::GatewayDialect;
@@ -33,6 +35,14 @@
     block_on(serve(args.settings, settings, dialect))
 }
 
+/// How often the settings file is looked at: it may change without a signal.
+const SETTINGS_PACE: Duration = Duration::from_secs(2);
+
+/// When the file was last written; none while it cannot be seen.
+fn modified_at(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|file| file.modified()).ok()
+}
+
 async fn serve(
     path: PathBuf,
     mut settings: GatewaySettings,
@@ -43,11 +53,19 @@
     let mut reload = signal(SignalKind::hangup())?;
     let sockets = GatewaySockets::open(&mut settings).await?;
     let gateway = launch_gateway(settings, sockets, dialect, random());
+    let mut modified = modified_at(&path);
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
             _ = reload.recv() => gateway.reload(&path),
+            () = sleep(SETTINGS_PACE) => {
+                let now = modified_at(&path);
+                if now != modified {
+                    modified = now;
+                    gateway.reload(&path);
+                }
+            }
         }
     }
     if gateway.shut_down().await {
--- /dev/null
+++ b/src/gateway/call/mod.rs
@@ -0,0 +1,205 @@
+//! One request of a caller, from its head to the end of its answer.
+
+mod prepare;
+mod relay;
+mod turn;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, StatusCode};
+use bytes::Bytes;
+use tokio::time::{Instant, timeout_at};
+
+use self::turn::TurnWork;
+use super::Gateway;
+use super::attempt::AttemptLog;
+use super::dialect::CallHead;
+use super::http::{CallerReader, CallerRequest, CallerWriter};
+use super::metrics::CallSample;
+use super::refusal::Refusal;
+use crate::core::ids::{RequestId, Tokens, UpstreamId};
+use crate::core::routing::{RouteSpec, ServiceName};
+
+/// When a caller may come back whose request found no place before its deadline.
+const DEADLINE_RETRY: Duration = Duration::from_millis(500);
+
+/// Everything that is decided about a request before it is sent on.
+pub(crate) struct CallContext {
+    pub(crate) id: RequestId,
+    pub(crate) head: CallHead,
+    pub(crate) method: Method,
+    pub(crate) target: Box<str>,
+    /// The caller's headers without those of its connection.
+    pub(crate) headers: HeaderMap,
+    /// What the upstream is sent.
+    pub(crate) body: Bytes,
+    pub(crate) route: Rc<RouteSpec>,
+    pub(crate) service: ServiceName,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) priority: Option<u8>,
+    /// The engine that holds the chain.
+    pub(crate) holder: Option<UpstreamId>,
+    /// Tokens in each event of the engine's stream.
+    event_tokens: Tokens,
+}
+
+/// How a call ended, for the log and the metrics.
+struct CallEnd {
+    outcome: &'static str,
+    status: u16,
+    upstream: Option<UpstreamId>,
+    /// Time until the first byte of the answer's body was passed on.
+    first: Option<Duration>,
+    /// Whether the caller's connection is good for another request.
+    keep: bool,
+}
+
+impl CallEnd {
+    fn cut(outcome: &'static str, upstream: Option<UpstreamId>) -> Self {
+        Self { outcome, status: 0, upstream, first: None, keep: false }
+    }
+}
+
+impl Gateway {
+    /// Answers one request; false if the connection must be closed.
+    pub(crate) async fn serve_call(
+        self: &Rc<Self>,
+        request: CallerRequest,
+        arrived: Instant,
+        reader: &mut CallerReader,
+        writer: &mut CallerWriter,
+    ) -> bool {
+        let method = request.method.clone();
+        let (call, turn) = match self.prepare(request, arrived, reader, writer).await {
+            Ok(prepared) => prepared,
+            Err((id, refusal)) => {
+                return self.refuse_unrouted(&id, &method, &refusal, arrived, writer).await;
+            }
+        };
+        let log = AttemptLog::default();
+        let end = tokio::select! {
+            biased;
+            () = reader.closed() => CallEnd::cut("caller_left", None),
+            end = self.run_call(&call, turn, &log, writer) => end,
+        };
+        self.note_end(&call, &end, &log);
+        end.keep
+    }
+
+    fn note_end(&self, call: &CallContext, end: &CallEnd, log: &AttemptLog) {
+        let elapsed = call.arrived.elapsed();
+        let sample = CallSample {
+            route: &call.route.name,
+            outcome: end.outcome,
+            elapsed,
+            first: end.first,
+            tries: log.tries.get(),
+        };
+        self.metrics.call_ended(&sample);
+        log::info!(
+            "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
+             upstream={} tries={} runs={} first_ms={} ms={}",
+            call.id,
+            call.head.program.as_deref().unwrap_or("-"),
+            call.route.name,
+            call.route.kind,
+            end.outcome,
+            end.status,
+            end.upstream.as_deref().unwrap_or("-"),
+            log.tries.get(),
+            log.runs.get(),
+            end.first.map_or(0, |first| first.as_millis()),
+            elapsed.as_millis(),
+        );
+    }
+
+    /// Refuses a request for which no route was found or whose body could not be read.
+    async fn refuse_unrouted(
+        &self,
+        id: &str,
+        method: &Method,
+        refusal: &Refusal,
+        arrived: Instant,
+        writer: &mut CallerWriter,
+    ) -> bool {
+        log::info!(
+            "event=call_refused request={id} method={method} status={} reason={} ms={}",
+            refusal.status.as_u16(),
+            refusal.reason,
+            arrived.elapsed().as_millis()
+        );
+        self.metrics.refused(refusal.reason);
+        // What is left of the body would be taken for the next request.
+        self.send_refusal(refusal, writer, true).await
+    }
+
+    pub(crate) async fn send_refusal(
+        &self,
+        refusal: &Refusal,
+        writer: &mut CallerWriter,
+        close: bool,
+    ) -> bool {
+        let close = close || self.is_draining();
+        let sent = writer.answer(refusal.status, refusal.headers(), refusal.body(), close).await;
+        sent.is_ok() && !close && writer.keeps_alive()
+    }
+
+    /// Runs a prepared call and writes its answer.
+    async fn run_call(
+        self: &Rc<Self>,
+        call: &CallContext,
+        is_turn: bool,
+        log: &AttemptLog,
+        writer: &mut CallerWriter,
+    ) -> CallEnd {
+        if !is_turn {
+            return self.send_on(call, None, log, writer).await;
+        }
+        match timeout_at(call.deadline, self.prepare_turn(call)).await {
+            Ok(Ok((turn, prepared))) => self.send_on(&prepared, Some(turn), log, writer).await,
+            Ok(Err(refusal)) => self.end_refused(&refusal, writer).await,
+            Err(_) => {
+                let refusal = Refusal::not_run("store_slow", DEADLINE_RETRY);
+                self.end_refused(&refusal, writer).await
+            }
+        }
+    }
+
+    async fn end_refused(&self, refusal: &Refusal, writer: &mut CallerWriter) -> CallEnd {
+        self.metrics.refused(refusal.reason);
+        let keep = self.send_refusal(refusal, writer, false).await;
+        let status = refusal.status.as_u16();
+        CallEnd { outcome: refusal.reason, status, upstream: None, first: None, keep }
+    }
+
+    /// Sends a call to upstreams and its answer to the caller.
+    async fn send_on(
+        self: &Rc<Self>,
+        call: &CallContext,
+        turn: Option<TurnWork>,
+        log: &AttemptLog,
+        writer: &mut CallerWriter,
+    ) -> CallEnd {
+        let answer = match timeout_at(call.deadline, self.attempt(call, log)).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(refusal)) => return self.end_refused(&refusal, writer).await,
+            Err(_) => {
+                let refusal = if log.exposed.get() {
+                    Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
+                } else {
+                    Refusal::not_run("deadline_unrun", DEADLINE_RETRY)
+                };
+                return self.end_refused(&refusal, writer).await;
+            }
+        };
+        let upstream = answer.choice.id.clone();
+        let relay = self.relay(call, answer, turn, writer);
+        match timeout_at(call.deadline, relay).await {
+            Ok(end) => end,
+            Err(_) => CallEnd::cut("deadline_midway", Some(upstream)),
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/call/prepare.rs
@@ -0,0 +1,126 @@
+//! What a request is, where it goes and until when: everything before it is sent on.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{CONNECTION, HeaderMap, HeaderName};
+use rand::random;
+use tokio::time::Instant;
+
+use super::CallContext;
+use crate::core::ids::RequestId;
+use crate::core::routing::{RouteSpec, RouteTable};
+use crate::gateway::Gateway;
+use crate::gateway::http::{CallerReader, CallerRequest, CallerWriter};
+use crate::gateway::refusal::Refusal;
+
+/// When a caller may come back to an instance that has no routes yet: they are read in a second.
+const NO_ROUTES_RETRY: Duration = Duration::from_millis(500);
+/// Headers that concern one connection only (RFC 9110, 7.6.1), and those the codec writes.
+const HOP_HEADERS: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// Removes what concerns only the connection a message came on.
+pub(super) fn end_to_end(headers: &HeaderMap) -> HeaderMap {
+    let nominated: Vec<Box<str>> = headers
+        .get_all(CONNECTION)
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .map(|name| name.trim().to_ascii_lowercase().into())
+        .collect();
+    let kept = |name: &HeaderName| {
+        let name = name.as_str();
+        !HOP_HEADERS.contains(&name) && !nominated.iter().any(|hop| **hop == *name)
+    };
+    let mut result = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers.iter().filter(|(name, _)| kept(name)) {
+        result.append(name.clone(), value.clone());
+    }
+    result
+}
+
+impl Gateway {
+    /// Finds the route of a request and reads its body.
+    pub(super) async fn prepare(
+        self: &Rc<Self>,
+        request: CallerRequest,
+        arrived: Instant,
+        reader: &mut CallerReader,
+        writer: &mut CallerWriter,
+    ) -> Result<(CallContext, bool), (RequestId, Refusal)> {
+        let head = match self.dialect.call_head(&request.headers) {
+            Ok(head) => head,
+            Err(error) => {
+                log::info!("event=head_malformed error=\"{error}\"");
+                let refusal = Refusal::rejected(StatusCode::BAD_REQUEST, "malformed_head");
+                return Err((RequestId::default(), refusal));
+            }
+        };
+        let id = head.request.clone().unwrap_or_default();
+        let fail = |refusal| (id.clone(), refusal);
+        let (table, route) = self.find_route(&request).await.map_err(fail)?;
+        if id.is_empty() {
+            let refusal = Refusal::rejected(StatusCode::BAD_REQUEST, "no_request_id");
+            return Err(fail(refusal));
+        }
+        let wait = head.deadline.unwrap_or(route.timeout).min(route.timeout);
+        let deadline = arrived + wait;
+        let limit = table.limits.body_bytes.min(self.settings.body_bytes());
+        let body = reader.body(&request, writer, limit, deadline).await.map_err(|error| {
+            let refusal = Refusal::unreadable(&error);
+            fail(refusal.unwrap_or(Refusal::rejected(StatusCode::BAD_REQUEST, "broken_body")))
+        })?;
+        let Some(service) = route.service(random()).cloned() else {
+            return Err(fail(Refusal::not_run("route_without_service", NO_ROUTES_RETRY)));
+        };
+        let engine = table.service(&service).and_then(|spec| spec.engine.as_ref());
+        let call = CallContext {
+            id: id.clone(),
+            method: request.method.clone(),
+            target: request.target.clone(),
+            headers: end_to_end(&request.headers),
+            body,
+            priority: engine.map(|_| route.priority.min(9)),
+            event_tokens: engine.map_or(1, |engine| engine.event_tokens),
+            service,
+            arrived,
+            deadline,
+            holder: None,
+            head,
+            route,
+        };
+        let is_turn = call.route.retention.is_some();
+        Ok((call, is_turn))
+    }
+
+    async fn find_route(
+        &self,
+        request: &CallerRequest,
+    ) -> Result<(Rc<RouteTable>, Rc<RouteSpec>), Refusal> {
+        let find = |table: &Rc<RouteTable>| table.find(&request.host, request.path()).cloned();
+        let Some(table) = self.news.routes() else {
+            return Err(Refusal::not_run("no_routes_yet", NO_ROUTES_RETRY));
+        };
+        if let Some(route) = find(&table) {
+            return Ok((table, route));
+        }
+        let fresh = self.news.refresh_routes().await;
+        let table = self.news.routes().unwrap_or(table);
+        match find(&table) {
+            Some(route) => Ok((table, route)),
+            None if fresh => Err(Refusal::rejected(StatusCode::NOT_FOUND, "no_such_route")),
+            None => Err(Refusal::not_run("routes_uncertain", NO_ROUTES_RETRY)),
+        }
+    }
+}
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -128,7 +128,13 @@
         open_calls: Cell::new(0),
         calls_ended: Notify::new(),
     });
-    log::info!("event=started zone={}", gateway.settings.zone);
+    log::info!(
+        "event=started zone={} caller_address={} directory_address={} peer_address={}",
+        gateway.settings.zone,
+        gateway.settings.caller_address,
+        gateway.settings.directory_address,
+        gateway.settings.peer_address
+    );
     let instance = gateway.settings.instance.clone();
     let sweeper = ProgramSweeper::new(instance, gateway.store.clone(), news.clone());
     actix_rt::spawn(sweeper.run());
--- /dev/null
+++ b/tests/turn_ledgers.rs
@@ -0,0 +1,124 @@
+//! Ledgers, records and the cache of turns, without a store.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use merlinsaddle::core::turns::{
+    ChainLookup, ProgramLedger, ReserveReply, TurnCache, TurnRecord, split_value,
+};
+use proptest::prelude::*;
+
+/// What a sequence of turns does to a ledger, against a plain sum.
+#[derive(Debug, Clone)]
+enum LedgerStep {
+    Reserve(u8, u64),
+    Settle(u8, u64),
+}
+
+fn steps() -> impl Strategy<Value = Vec<LedgerStep>> {
+    let step = prop_oneof![
+        (0..12_u8, 0..40_u64).prop_map(|(turn, most)| LedgerStep::Reserve(turn, most)),
+        (0..12_u8, 0..40_u64).prop_map(|(turn, used)| LedgerStep::Settle(turn, used)),
+    ];
+    prop::collection::vec(step, 1..80)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: proptest::test_runner::RngSeed::Fixed(3), ..ProptestConfig::default() })]
+
+    /// Whatever turns reserve and use, no more than the budget is ever committed, repeated
+    /// reservations count once, and a settled turn's use stays.
+    #[test]
+    fn a_ledger_never_commits_more_than_the_budget(steps in steps()) {
+        const BUDGET: u64 = 100;
+        let mut ledger = ProgramLedger::default();
+        let mut open = std::collections::BTreeMap::new();
+        let mut spent = 0;
+        for step in steps {
+            match step {
+                LedgerStep::Reserve(turn, most) => {
+                    let name = format!("t{turn}").into();
+                    let fits = spent + open.values().sum::<u64>() + most <= BUDGET;
+                    let known = open.contains_key(&turn);
+                    let reply = ledger.reserve(&name, most, BUDGET);
+                    prop_assert_eq!(reply == ReserveReply::Reserved, fits || known);
+                    if fits && !known {
+                        open.insert(turn, most);
+                    }
+                }
+                LedgerStep::Settle(turn, used) => {
+                    let most = open.remove(&turn);
+                    // No engine makes more tokens than the most that was asked for.
+                    let used = used.min(most.unwrap_or(0));
+                    let name = format!("t{turn}").into();
+                    prop_assert_eq!(ledger.settle(&name, used), most.is_some());
+                    spent += used;
+                }
+            }
+            prop_assert_eq!(ledger.committed(), spent + open.values().sum::<u64>());
+            prop_assert!(ledger.committed() <= BUDGET);
+        }
+    }
+
+    #[test]
+    fn a_record_reads_back_from_its_pieces(
+        input in prop::collection::vec(any::<u8>(), 0..300),
+        output in prop::collection::vec(any::<u8>(), 0..300),
+        most in 1..64_usize,
+    ) {
+        let record = TurnRecord {
+            previous: Some("t0".into()),
+            origin: None,
+            upstream: "e1".into(),
+            input: Bytes::from(input),
+            output: Bytes::from(output),
+        };
+        let value = record.encode();
+        let pieces = split_value(value.len(), most);
+        prop_assert!(pieces.iter().all(|piece| piece.len() <= most && !piece.is_empty()));
+        let joined: Vec<u8> = pieces.into_iter().flat_map(|piece| value[piece].to_vec()).collect();
+        prop_assert_eq!(TurnRecord::decode(joined.into()), Ok(record));
+    }
+}
+
+#[test]
+fn a_refusal_tells_whether_it_lasts() {
+    let mut ledger = ProgramLedger::default();
+    assert_eq!(ledger.reserve(&"a".into(), 60, 100), ReserveReply::Reserved);
+    let short = ledger.reserve(&"b".into(), 60, 100);
+    assert_eq!(short, ReserveReply::Exhausted { committed: 60, lasting: false });
+    ledger.settle(&"a".into(), 50);
+    let spent = ledger.reserve(&"b".into(), 60, 100);
+    assert_eq!(spent, ReserveReply::Exhausted { committed: 50, lasting: true });
+}
+
+#[test]
+fn torn_records_are_errors() {
+    for value in ["", "no head", "{}\nx", r#"{"u":"e","i":5}"#, "{\"u\":\"e\",\"i\":5}\nabc"] {
+        assert!(TurnRecord::decode(Bytes::from(value.to_owned())).is_err(), "{value:?}");
+    }
+}
+
+fn record(previous: Option<&str>, bytes: usize) -> Rc<TurnRecord> {
+    let previous = previous.map(Into::into);
+    let input = Bytes::from(vec![b'x'; bytes]);
+    let output = Bytes::new();
+    Rc::new(TurnRecord { previous, origin: None, upstream: "e".into(), input, output })
+}
+
+#[test]
+fn the_cache_forgets_programs_whole_and_the_oldest_first() {
+    let mut cache = TurnCache::new(4_000);
+    let programs: [Box<str>; 3] = ["p".into(), "q".into(), "r".into()];
+    cache.insert(&programs[0], "p1".into(), record(None, 1_000));
+    cache.insert(&programs[0], "p2".into(), record(Some("p1"), 500));
+    cache.insert(&programs[1], "q1".into(), record(Some("p2"), 500));
+    assert!(matches!(cache.chain(&"q1".into()), ChainLookup::Whole(chain) if chain.len() == 3));
+    cache.touch("p");
+    cache.insert(&programs[2], "r1".into(), record(None, 1_000));
+    assert_eq!(cache.chain(&"q1".into()), ChainLookup::Missing("q1".into()));
+    assert_eq!(cache.program_of(&"p2".into()), Some("p".into()));
+    cache.forget("p");
+    assert_eq!(cache.chain(&"p2".into()), ChainLookup::Missing("p2".into()));
+    assert!(cache.bytes() <= 4_000);
+}
--- /dev/null
+++ b/tests/upstream_choice.rs
@@ -0,0 +1,139 @@
+//! Which upstream a request goes to, and what is made of the news about upstreams.
+
+use std::time::Duration;
+
+use merlinsaddle::core::ids::UpstreamId;
+use merlinsaddle::core::upstreams::{
+    AttemptResult, ChoiceRequest, ListNews, PromptPart, UpstreamEntry, UpstreamState, UpstreamTable,
+};
+use tokio::time::{Instant, advance};
+
+fn entry(id: &str, zone: &str, state: UpstreamState) -> UpstreamEntry {
+    UpstreamEntry {
+        id: id.into(),
+        service: "llm".into(),
+        address: format!("{id}:1").into(),
+        zone: zone.into(),
+        slots: 8,
+        state,
+        warming: Duration::ZERO,
+    }
+}
+
+fn table(entries: &[(&str, &str)]) -> UpstreamTable {
+    let mut table = UpstreamTable::default();
+    for (id, zone) in entries {
+        let entry = entry(id, zone, UpstreamState::Ready);
+        table.apply(ListNews::Listed(entry), Instant::now());
+    }
+    table
+}
+
+fn request<'a>(tried: &'a [UpstreamId], holder: Option<&'a UpstreamId>) -> ChoiceRequest<'a> {
+    ChoiceRequest {
+        service: "llm",
+        zone: "near",
+        parts: &[],
+        holder,
+        affinity: None,
+        tried,
+        connected: &|_| true,
+        salt: 1,
+        now: Instant::now(),
+    }
+}
+
+fn chosen(table: &UpstreamTable, request: &ChoiceRequest<'_>) -> Option<Box<str>> {
+    table.choose(request).map(|choice| choice.id)
+}
+
+fn long_prompt() -> [PromptPart; 2] {
+    let part = |part: &str, tokens| PromptPart { part: part.into(), tokens };
+    [part("shared", 2_560), part("own", 1_000)]
+}
+
+#[tokio::test(start_paused = true)]
+async fn near_ones_come_first_and_tried_ones_not_again() {
+    let table = table(&[("a", "near"), ("b", "far")]);
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+    assert_eq!(chosen(&table, &request(&["a".into()], None)).as_deref(), Some("b"));
+    assert_eq!(chosen(&table, &request(&["a".into(), "b".into()], None)), None);
+    let other = ChoiceRequest { service: "tools", ..request(&[], None) };
+    assert_eq!(chosen(&table, &other), None);
+}
+
+/// The engine of the turn before holds the chain: it is worth a few other requests there, but not
+/// any number, and not one that has turned slow.
+#[tokio::test(start_paused = true)]
+async fn a_chain_stays_where_it_is_until_that_costs_more() {
+    let mut table = table(&[("a", "near"), ("b", "near")]);
+    let (holder, parts) = ("a".into(), long_prompt());
+    let turn = |now| ChoiceRequest { parts: &parts, now, ..request(&[], Some(&holder)) };
+    for _ in 0..5 {
+        table.started("a", 10.0, Instant::now());
+    }
+    assert_eq!(chosen(&table, &turn(Instant::now())).as_deref(), Some("a"));
+    for _ in 0..20 {
+        table.started("a", 30.0, Instant::now());
+    }
+    assert_eq!(chosen(&table, &turn(Instant::now())).as_deref(), Some("b"));
+
+    let mut table = self::table(&[("a", "near"), ("b", "near")]);
+    for _ in 0..100 {
+        table.measure("b", 12.0, Instant::now());
+    }
+    for _ in 0..8 {
+        table.measure("a", 60.0, Instant::now());
+    }
+    assert_eq!(chosen(&table, &turn(Instant::now())).as_deref(), Some("b"));
+    advance(Duration::from_secs(15)).await;
+    assert_eq!(chosen(&table, &turn(Instant::now())).as_deref(), Some("a"), "what is old fades");
+}
+
+#[tokio::test(start_paused = true)]
+async fn failing_ones_are_put_aside_and_let_back() {
+    let mut table = table(&[("a", "near"), ("b", "far")]);
+    table.started("a", 0.0, Instant::now());
+    table.ended("a", AttemptResult::Unreachable, Instant::now());
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("b"));
+    advance(Duration::from_millis(600)).await;
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+    // One broken answer befalls sound upstreams too; two in a row do not.
+    table.ended("a", AttemptResult::Broken, Instant::now());
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+    table.ended("a", AttemptResult::Broken, Instant::now());
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("b"));
+    // With nobody else left, one that is aside is better than none.
+    assert_eq!(chosen(&table, &request(&["b".into()], None)).as_deref(), Some("a"));
+}
+
+/// The news that an upstream drains overtakes an older beat that still calls it ready.
+#[tokio::test(start_paused = true)]
+async fn a_draining_upstream_is_not_revived() {
+    let mut table = table(&[("a", "near")]);
+    let now = Instant::now();
+    table.apply(ListNews::Listed(entry("a", "near", UpstreamState::Draining)), now);
+    table.apply(ListNews::Listed(entry("a", "near", UpstreamState::Ready)), now);
+    assert_eq!(chosen(&table, &request(&[], None)), None);
+    assert!(!table.serves("llm"));
+}
+
+/// Two entries lapse while the store is away. One returns after it; the other is gone.
+#[tokio::test(start_paused = true)]
+async fn lapsed_entries_wait_for_the_stores_return() {
+    let mut table = table(&[("a", "near"), ("b", "near")]);
+    table.store_readable(false, Instant::now());
+    table.replace(Vec::new(), Instant::now());
+    advance(Duration::from_secs(9)).await;
+    table.store_readable(true, Instant::now());
+    advance(Duration::from_secs(2)).await;
+    assert!(table.expire(Instant::now()).is_empty());
+    let back = entry("a", "near", UpstreamState::Ready);
+    table.apply(ListNews::Listed(back), Instant::now());
+    advance(Duration::from_millis(400)).await;
+    assert_eq!(table.expire(Instant::now()), ["b".into()]);
+    assert_eq!(table.len(), 1);
+    // Without an outage a removal counts at once.
+    table.apply(ListNews::Removed("a".into()), Instant::now());
+    assert!(table.is_empty());
+}
