--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,156 @@
+//! Failures explained from the log alone, on the real program: from a request's id to its cause.
+
+mod platform_standin;
+mod workdir;
+
+use std::process::Child;
+use std::time::Duration;
+
+use platform_standin::engine::EngineAct;
+use platform_standin::http::{RawMessage, Wire};
+use platform_standin::store::StoreFault;
+use platform_standin::{Deployment, budgeted_turn, call, wait_until};
+use serde_json::json;
+use workdir::WorkDir;
+
+/// The real program with its log in a file.
+struct GatewayProcess {
+    dir: WorkDir,
+    child: Child,
+    callers: String,
+}
+
+impl GatewayProcess {
+    async fn start(name: &str, store: &str) -> Self {
+        let dir = WorkDir::new(name);
+        let any = "127.0.0.1:0";
+        let settings = json!({
+            "instance": "gateway-1", "zone": "zone-a", "region": "region",
+            "caller_address": any, "ready_address": any, "directory_address": any,
+            "peer_address": any, "gossip_port": 0, "seeds": [], "store_address": store,
+            "store_row_bytes": 65536, "store_across_parts": true, "memory_mb": 130,
+            "grace_seconds": 8, "address_keep_seconds": 0.2,
+        });
+        let path = dir.file("settings.json", &settings.to_string());
+        let child = dir.spawn("gateway.log", &["gateway", &path]);
+        let mut process = Self { dir, child, callers: String::new() };
+        wait_until("it is ready", async || process.log().contains("event=ready")).await;
+        let log = process.log();
+        let address = log.split("caller_address=").nth(1).and_then(|rest| rest.split(' ').next());
+        process.callers = address.expect("the start names the address").to_owned();
+        process
+    }
+
+    fn log(&self) -> String {
+        self.dir.read("gateway.log")
+    }
+
+    async fn call(&self, request: &str) -> RawMessage {
+        let mut wire = Wire::connect(&self.callers).await;
+        wire.send(request.as_bytes()).await;
+        wire.read_message(true).await.expect("an answer comes")
+    }
+
+    /// The story of an id once the log tells how it ended, as lines without their times.
+    async fn story(&self, id: &str) -> Vec<String> {
+        let ended = format!("={id} ");
+        let tells_end = |line: &str| line.contains("event=call_ended") && line.contains(&ended);
+        wait_until("the end is logged", async || self.log().lines().any(tells_end)).await;
+        let log = self.dir.path("gateway.log");
+        let run = self.dir.run(&["timeline", "--story", id, "--logs", &log]);
+        assert_eq!(run.code, 0, "{run:?}");
+        run.stdout.lines().map(str::to_owned).collect()
+    }
+
+    fn signal(&self, signal: &str) {
+        let process = self.child.id().to_string();
+        let sent = std::process::Command::new("kill").args([signal, &process]).status();
+        assert!(sent.expect("kill runs").success());
+    }
+}
+
+impl Drop for GatewayProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Whether these fragments stand in one line each, in this order.
+fn tells(story: &[String], fragments: &[&str]) -> bool {
+    let mut lines = story.iter();
+    fragments.iter().all(|fragment| lines.any(|line| line.contains(fragment)))
+}
+
+/// The store turns the instance away. The caller sees 503; the log shows the lost dependency before
+/// the refusal, and that nothing was tried.
+#[actix_rt::test]
+async fn a_refused_turn_leads_to_the_lost_store() {
+    let deployment = Deployment::start(0, 1).await;
+    let gateway = GatewayProcess::start("refused_turn", &deployment.store_address).await;
+    deployment.store.set_fault(StoreFault::Busy);
+    let answer = gateway.call(&budgeted_turn("t1", "p", None, "x", 100)).await;
+    assert_eq!(answer.status(), 503);
+    let story = gateway.story("t1").await;
+    let cause = "event=dependency_lost dependency=store way=any";
+    let end = "event=call_ended request=t1 program=p route=turn kind=stream \
+               outcome=store_unavailable status=503 upstream=- tries=0 runs=0";
+    assert!(tells(&story, &[cause, end]), "{story:#?}");
+}
+
+/// The upstream runs the call and its answer is lost. The caller sees 502; the log names the
+/// upstream, that it may have run, and why the call was not sent again.
+#[actix_rt::test]
+async fn a_lost_answer_leads_to_its_upstream() {
+    let deployment = Deployment::start(0, 1).await;
+    let gateway = GatewayProcess::start("lost_answer", &deployment.store_address).await;
+    deployment.engines[0].act(EngineAct::LoseAnswer);
+    assert_eq!(gateway.call(&call("book", "b1")).await.status(), 502);
+    let story = gateway.story("b1").await;
+    let cause = "event=attempt_unknown request=b1 upstream=e0 runs=1 cause=\"connection_";
+    let end = "event=call_ended request=b1 program=- route=book kind=at_most_once \
+               outcome=answer_lost status=502";
+    assert!(tells(&story, &[cause, end]), "{story:#?}");
+}
+
+/// A program has spent its budget, and names a turn that does not exist. The log gives the numbers
+/// that decided, and tells the two apart.
+#[actix_rt::test]
+async fn an_ended_program_leads_to_its_budget_or_its_chain() {
+    let deployment = Deployment::start(0, 1).await;
+    let gateway = GatewayProcess::start("ended_program", &deployment.store_address).await;
+    gateway.call(&budgeted_turn("t1", "p", None, "x", 8)).await;
+    assert_eq!(gateway.call(&budgeted_turn("t2", "p", None, "x", 8)).await.status(), 402);
+    assert_eq!(gateway.call(&budgeted_turn("t3", "q", Some("t0"), "x", 8)).await.status(), 404);
+    let story = gateway.story("t2").await;
+    let cause = "event=budget_exhausted request=t2 program=p budget=8 committed=6 most=6";
+    assert!(tells(&story, &[cause, "outcome=budget_exhausted status=402"]), "{story:#?}");
+    let whole = gateway.story("p").await;
+    assert!(tells(&whole, &["request=t1 ", "request=t2 "]), "{whole:#?}");
+    assert!(tells(&gateway.story("t3").await, &["outcome=no_such_turn status=404"]));
+}
+
+/// The settings change with and without a signal, once to nonsense; then the process is stopped.
+#[actix_rt::test]
+async fn settings_are_read_again_and_a_stop_ends_with_zero() {
+    let deployment = Deployment::start(0, 1).await;
+    let mut gateway = GatewayProcess::start("reload", &deployment.store_address).await;
+    let good = gateway.dir.read("settings.json");
+    gateway.dir.file("settings.json", "{ nonsense");
+    gateway.signal("-HUP");
+    wait_until("nonsense is rejected", async || gateway.log().contains("settings_rejected")).await;
+    gateway.dir.file("settings.json", &good);
+    wait_until("the file is read again", async || gateway.log().contains("settings_reloaded"))
+        .await;
+    assert_eq!(gateway.call(&call("book", "b1")).await.status(), 200);
+    gateway.signal("-TERM");
+    wait_until("it says so", async || gateway.log().contains("event=stop_ended finished=true"))
+        .await;
+    let code = loop {
+        if let Some(status) = gateway.child.try_wait().expect("it can be asked") {
+            break status.code();
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    };
+    assert_eq!(code, Some(0));
+}
--- /dev/null
+++ b/tests/platform_adapter.rs
@@ -0,0 +1,326 @@
+//! The adapter: what it makes of the platform's headers, rows and replies, good and bad.
+
+#[path = "../platform/mod.rs"]
+mod platform;
+
+use std::time::Duration;
+
+use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
+use bytes::Bytes;
+use merlinsaddle::core::upstreams::UpstreamState;
+use merlinsaddle::gateway::dialect::{AttemptHead, GatewayDialect};
+use merlinsaddle::gateway::rows::{
+    ChangesReply, CommitReply, RowKey, RowRange, RowTransaction, StoredRow,
+};
+use merlinsaddle::node::platform::StoreError;
+use platform::PlatformDialect;
+use rstest::rstest;
+
+fn headers(pairs: &[(&str, &str)]) -> HeaderMap {
+    let mut map = HeaderMap::new();
+    for (name, value) in pairs {
+        let name: HeaderName = name.to_ascii_lowercase().parse().expect("a header name");
+        map.append(name, HeaderValue::from_str(value).expect("a header value"));
+    }
+    map
+}
+
+fn row(key: &str, value: Option<&str>) -> StoredRow {
+    let key = RowKey { table: "t".into(), part: "".into(), key: key.into() };
+    StoredRow { key, value: value.map(|text| Bytes::from(text.to_owned())), version: 7 }
+}
+
+#[test]
+fn a_turns_head_is_decoded() {
+    let head = PlatformDialect.call_head(&headers(&[
+        ("Merlinsaddle-Request-Id", "r1"),
+        ("Merlinsaddle-Deadline-Ms", "6000"),
+        ("Merlinsaddle-Program-Id", "p1"),
+        ("Merlinsaddle-Finish-Ms", "5200.5"),
+        ("Merlinsaddle-Token-Budget", "1088"),
+        ("Merlinsaddle-Token-Usage", "1840, 136"),
+        ("Merlinsaddle-Previous-Turn", "r0"),
+        ("Merlinsaddle-Prompt-Prefix", "5c1e:800, 91bd:410,broken,e4:250"),
+    ]));
+    insta::assert_debug_snapshot!(head, @r#"
+    Ok(
+        CallHead {
+            request: Some(
+                "r1",
+            ),
+            deadline: Some(
+                6s,
+            ),
+            affinity: None,
+            program: Some(
+                "p1",
+            ),
+            finish: Some(
+                5.2005s,
+            ),
+            token_budget: Some(
+                1088,
+            ),
+            max_output: Some(
+                136,
+            ),
+            prompt_tokens: Some(
+                1840,
+            ),
+            previous: Some(
+                "r0",
+            ),
+            parts: [
+                PromptPart {
+                    part: "5c1e",
+                    tokens: 800,
+                },
+                PromptPart {
+                    part: "91bd",
+                    tokens: 410,
+                },
+            ],
+        },
+    )
+    "#);
+}
+
+#[rstest]
+#[case(&[("Merlinsaddle-Request-Id", "a"), ("Merlinsaddle-Request-Id", "b")])]
+#[case(&[("Merlinsaddle-Deadline-Ms", "soon")])]
+#[case(&[("Merlinsaddle-Deadline-Ms", "1e300")])]
+#[case(&[("Merlinsaddle-Token-Budget", "-5")])]
+#[case(&[("Merlinsaddle-Token-Usage", "7")])]
+fn bad_heads_name_their_field(#[case] pairs: &[(&str, &str)]) {
+    let error = PlatformDialect.call_head(&headers(pairs)).expect_err("a bad head");
+    assert!(error.to_string().contains(&pairs[0].0.to_ascii_lowercase()), "{error}");
+}
+
+#[test]
+fn an_upstreams_head_has_what_the_system_sets() {
+    let caller = headers(&[
+        ("Host", "h"),
+        ("Merlinsaddle-Request-Id", "r1"),
+        ("Merlinsaddle-Deadline-Ms", "9999"),
+        ("Merlinsaddle-Hold", "forged"),
+        ("X-Own", "1"),
+        ("X-Own", "2"),
+    ]);
+    let attempt = AttemptHead {
+        expect: "i-1".into(),
+        deadline: Duration::from_millis(1_234),
+        priority: Some(2),
+    };
+    let sent = PlatformDialect.upstream_headers(&caller, &attempt);
+    let mut lines: Vec<String> =
+        sent.iter().map(|(name, value)| format!("{name}: {}", value.to_str().unwrap())).collect();
+    lines.sort();
+    insta::assert_debug_snapshot!(lines, @r#"
+    [
+        "host: h",
+        "merlinsaddle-deadline-ms: 1234",
+        "merlinsaddle-expect-instance: i-1",
+        "merlinsaddle-request-id: r1",
+        "merlinsaddle-request-priority: 2",
+        "x-own: 1",
+        "x-own: 2",
+    ]
+    "#);
+}
+
+#[test]
+fn answers_say_whose_they_are() {
+    let answer = PlatformDialect.answer_head(&headers(&[
+        ("Merlinsaddle-Request-Id", "r1"),
+        ("Merlinsaddle-Not-Run", "1"),
+        ("Keep-Alive", "max=5, timeout=10"),
+    ]));
+    assert_eq!(answer.request.as_deref(), Some("r1"));
+    assert_eq!((answer.not_run, answer.keep_alive), (true, Some(Duration::from_secs(10))));
+}
+
+const CONFIG: &str = r#"{"version":7,"routes":[
+    {"name":"a","host":"h","path-prefix":"/a/","kind":"stream","timeout-ms":6000,"goal-ms":250,
+     "priority":1,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],
+     "max-attempts":2,"retained":true,"retain-s":60.0,"sticky":true,"new-field":1},
+    {"name":"b","host":"h","path-prefix":"/b/","kind":"unsafe","timeout-ms":1500,"service":"t"}],
+    "services":[{"name":"s","max-conns":480,"engine":{"slots":96,"event-tokens":2}},
+                {"name":"t","max-conns":96}],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+              "idle-timeout-ms":15000}}"#;
+
+#[test]
+fn the_operators_configuration_is_decoded() {
+    let table = PlatformDialect.route_table(&row("config", Some(CONFIG)));
+    let table = table.expect("it is valid").expect("it is the configuration");
+    insta::assert_debug_snapshot!(
+        (table.version, table.limits, table.find("h", "/a/x"), table.find("h", "/b/x")),
+        @r#"
+    (
+        7,
+        CallerLimits {
+            header_bytes: 16384,
+            body_bytes: 4194304,
+            header_timeout: 3s,
+            idle_timeout: 15s,
+        },
+        Some(
+            RouteSpec {
+                name: "a",
+                host: "h",
+                prefix: "/a/",
+                kind: Stream,
+                timeout: 6s,
+                objective: 250ms,
+                priority: 1,
+                targets: [
+                    (
+                        "s",
+                        90,
+                    ),
+                    (
+                        "t",
+                        10,
+                    ),
+                ],
+                max_attempts: 2,
+                sticky: true,
+                retention: Some(
+                    60s,
+                ),
+            },
+        ),
+        Some(
+            RouteSpec {
+                name: "b",
+                host: "h",
+                prefix: "/b/",
+                kind: AtMostOnce,
+                timeout: 1.5s,
+                objective: 0ns,
+                priority: 0,
+                targets: [
+                    (
+                        "t",
+                        1,
+                    ),
+                ],
+                max_attempts: 1,
+                sticky: false,
+                retention: None,
+            },
+        ),
+    )
+    "#
+    );
+    let engine = table.service("s").and_then(|service| service.engine.clone());
+    assert_eq!(engine.map(|engine| (engine.slots, engine.event_tokens)), Some((96, 2)));
+    let other = PlatformDialect.route_table(&row("other", Some("{}")));
+    assert_eq!(other, Ok(None));
+}
+
+#[rstest]
+#[case("{}")]
+#[case("not json")]
+#[case(r#"{"version":1,"routes":[{"name":"a"}],"services":[],"limits":{}}"#)]
+fn bad_configurations_are_errors(#[case] text: &str) {
+    assert!(PlatformDialect.route_table(&row("config", Some(text))).is_err());
+    assert!(PlatformDialect.route_table(&row("config", None)).is_err());
+}
+
+#[test]
+fn an_upstreams_entry_is_decoded() {
+    let text = r#"{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":6,
+        "state":"draining","cold-left-ms":250,"sequence":4}"#;
+    let entry = PlatformDialect.upstream_entry(&row("i-1", Some(text))).expect("it is valid");
+    assert_eq!((&*entry.id, &*entry.service, &*entry.address), ("i-1", "s", "10.0.0.9:80"));
+    assert_eq!((entry.state, entry.warming), (UpstreamState::Draining, Duration::from_millis(250)));
+    assert!(PlatformDialect.upstream_entry(&row("i-1", Some(r#"{"state":"odd"}"#))).is_err());
+}
+
+#[test]
+fn store_calls_are_spelled_as_the_platform_reads_them() {
+    let key =
+        |part: &str, key: &str| RowKey { table: "my".into(), part: part.into(), key: key.into() };
+    let transaction = RowTransaction {
+        checks: vec![(key("p", "a"), 3)],
+        puts: vec![(key("p", "a"), Bytes::from_static(b"node-1"))],
+        removals: vec![key("q", "b")],
+    };
+    let commit = PlatformDialect.commit_call(&transaction);
+    let range = RowRange {
+        table: "my".into(),
+        part: "p 7".into(),
+        from: Some("t/ä\0".into()),
+        limit: Some(5),
+    };
+    let range = PlatformDialect.range_call(&range);
+    let changes = PlatformDialect.changes_call("op", 530, Duration::from_millis(900));
+    let parts = PlatformDialect.parts_call("my", Some("a&b"));
+    insta::assert_debug_snapshot!(
+        (
+            commit.target,
+            String::from_utf8_lossy(&commit.body).into_owned(),
+            range.target,
+            changes.target,
+            changes.hold,
+            parts.target,
+        ),
+        @r#"
+    (
+        "/rows-tx",
+        "{\"expected-rev\":[{\"table\":\"my\",\"part\":\"p\",\"key\":\"a\",\"row-version\":3}],\"puts\":[{\"table\":\"my\",\"part\":\"p\",\"key\":\"a\",\"value\":\"bm9kZS0x\"}],\"remove\":[{\"table\":\"my\",\"part\":\"q\",\"key\":\"b\"}],\"across\":true}",
+        "/rows-get?table=my&part=p%207&from=t%2F%C3%A4%00&limit=5",
+        "/rows-feed?table=op&after=530&wait-ms=900",
+        900ms,
+        "/rows-parts?table=my&after=a%26b",
+    )
+    "#
+    );
+}
+
+#[rstest]
+#[case(429, "", StoreError::Unavailable)]
+#[case(503, "busy", StoreError::Unavailable)]
+fn refusals_mean_that_nothing_was_done(
+    #[case] status: u16,
+    #[case] body: &str,
+    #[case] expected: StoreError,
+) {
+    assert_eq!(PlatformDialect.commit_reply(status, body.as_bytes()), Err(expected.clone()));
+    assert_eq!(PlatformDialect.range_reply(status, body.as_bytes()), Err(expected));
+}
+
+#[test]
+fn replies_are_decoded_and_nonsense_is_an_error() {
+    let conflict =
+        br#"{"rows":[{"table":"my","part":"p","key":"a","value":"bm9kZS0x","row-version":4}]}"#;
+    let Ok(CommitReply::Conflict(rows)) = PlatformDialect.commit_reply(412, conflict) else {
+        panic!("a conflict")
+    };
+    assert_eq!((rows[0].version, rows[0].value.as_deref()), (4, Some(&b"node-1"[..])));
+    let gone = br#"{"rows":[{"table":"servers","key":"i","row-version":9,"deleted":true}],"row-version":9,"now-ms":1.5}"#;
+    let Ok(ChangesReply::Changes { rows, version }) = PlatformDialect.changes_reply(200, gone)
+    else {
+        panic!("changes")
+    };
+    assert_eq!((version, rows[0].value.is_none()), (9, true));
+    assert_eq!(PlatformDialect.changes_reply(410, b""), Ok(ChangesReply::HistoryGone));
+    for (status, body) in [(200, &b"{"[..]), (500, b""), (200, br#"{"rows":[{"value":"!"}]}"#)] {
+        let error = PlatformDialect.range_reply(status, body);
+        assert!(matches!(error, Err(StoreError::Malformed { .. })), "{error:?}");
+    }
+}
+
+#[test]
+fn addresses_are_asked_for_and_named() {
+    let query = PlatformDialect.address_query("/resolve", "name=h&region=r&zone=z");
+    let query = query.expect("a question for addresses");
+    assert_eq!((&*query.zone, &*query.region), ("z", "r"));
+    assert!(PlatformDialect.address_query("/other", "").is_none());
+    let many: Vec<Box<str>> = (0..70).map(|port| format!("10.0.0.1:{port}").into()).collect();
+    let reply = PlatformDialect.address_reply(&many, Duration::from_secs(1));
+    let reply: serde_json::Value = serde_json::from_slice(&reply).expect("JSON");
+    assert_eq!(reply["addresses"].as_array().map(Vec::len), Some(64));
+    assert_eq!(reply["ttl-s"], 1.0);
+}
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -46,6 +46,14 @@
         path.display().to_string()
     }
 
+    pub fn path(&self, name: &str) -> String {
+        self.path.join(name).display().to_string()
+    }
+
+    pub fn read(&self, name: &str) -> String {
+        fs::read_to_string(self.path.join(name)).unwrap_or_default()
+    }
+
     pub fn run(&self, args: &[&str]) -> Run {
         let output = Command::new(PROGRAM).args(args).output().expect("the program starts");
         Run {
