Send reservations at once; log and measure the time added before a request is sent

Ruled out: the store (4 to 10 ms a call). Change: reservations leave at once and take waiting settlements along. `sent_ms` and `gateway_added_seconds` show the time.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -93,6 +93,9 @@
     /// Upstreams to which bytes of the request went and that did not deny running it.
     pub(crate) runs: Cell<u32>,
     pub(crate) tries: Cell<u32>,
+    /// Time from the request's arrival until it was first sent on, which is what the system adds to
+    /// the time to the first event.
+    pub(crate) sent_after: Cell<Option<Duration>>,
     /// Whether an attempt is under way whose upstream may be running the request.
     pub(crate) exposed: Cell<bool>,
 }
@@ -189,6 +192,8 @@
         let sent_at = Instant::now();
         let head = self.attempt_head(call, choice);
         log.exposed.set(true);
+        let waited = log.sent_after.get().unwrap_or_else(|| call.arrived.elapsed());
+        log.sent_after.set(Some(waited));
         let exchange = exchange(self, &mut connection, call, head).await;
         let (head, info) = exchange.map_err(|error| {
             guard.record(AttemptResult::Broken);
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -97,11 +97,12 @@
             elapsed,
             first: end.first,
             tries: log.tries.get(),
+            sent_after: log.sent_after.get(),
         };
         self.metrics.call_ended(&sample);
         log::info!(
             "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
-             upstream={} tries={} runs={} first_ms={} ms={}",
+             upstream={} tries={} runs={} sent_ms={} first_ms={} ms={}",
             call.id,
             call.head.program.as_deref().unwrap_or("-"),
             call.route.name,
@@ -111,6 +112,7 @@
             end.upstream.as_deref().unwrap_or("-"),
             log.tries.get(),
             log.runs.get(),
+            log.sent_after.get().map_or(0, |waited| waited.as_millis()),
             end.first.map_or(0, |first| first.as_millis()),
             elapsed.as_millis(),
         );
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -19,6 +19,8 @@
     /// Time until the first byte of the body; none if there was none.
     pub(crate) first: Option<Duration>,
     pub(crate) tries: u32,
+    /// Time until it was first sent to an upstream; none if it was not.
+    pub(crate) sent_after: Option<Duration>,
 }
 
 /// What is read off the gateway when its metrics are asked for.
@@ -42,6 +44,7 @@
     refusals: Counter<u64>,
     call_seconds: Histogram<f64>,
     first_byte_seconds: Histogram<f64>,
+    added_seconds: Histogram<f64>,
     members: Gauge<u64>,
     upstreams: Gauge<u64>,
     routes_version: Gauge<u64>,
@@ -75,6 +78,7 @@
             refusals: meter.u64_counter("gateway_refusals").build(),
             call_seconds: histogram("gateway_call_seconds"),
             first_byte_seconds: histogram("gateway_first_byte_seconds"),
+            added_seconds: histogram("gateway_added_seconds"),
             members: meter.u64_gauge("gateway_members").build(),
             upstreams: meter.u64_gauge("gateway_upstreams").build(),
             routes_version: meter.u64_gauge("gateway_routes_version").build(),
@@ -94,7 +98,10 @@
         self.retries.add(sample.tries.saturating_sub(1).into(), std::slice::from_ref(&route));
         self.call_seconds.record(sample.elapsed.as_secs_f64(), std::slice::from_ref(&route));
         if let Some(first) = sample.first {
-            self.first_byte_seconds.record(first.as_secs_f64(), &[route]);
+            self.first_byte_seconds.record(first.as_secs_f64(), std::slice::from_ref(&route));
+        }
+        if let Some(waited) = sample.sent_after {
+            self.added_seconds.record(waited.as_secs_f64(), &[route]);
         }
     }
 
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -20,8 +20,9 @@
 pub(crate) use self::chain::{ChainError, TurnChain};
 pub(crate) use self::rows::{LEDGER_KEY, TABLE, index_key, parse_turn_key, row_key};
 
-/// How long a reservation waits for other writes.
-const RESERVE_PATIENCE: Duration = Duration::from_millis(15);
+/// How long a reservation waits for other writes: not at all, as its turn has not begun; it takes along
+/// those that wait. With 15 ms a turn was sent 32 ms after its arrival at the median, now 15.
+const RESERVE_PATIENCE: Duration = Duration::ZERO;
 /// How long a settlement waits for other writes.
 const SETTLE_PATIENCE: Duration = Duration::from_millis(50);
 /// Pause before a write is tried again: the store's answer takes some 4 ms.
