Take a reservation back whose caller left while it was on its way

Cause: a caller that leaves, or a deadline that passes, drops the request between the reservation's write and its answer; the write still took effect and the turn's tokens stayed set aside for good. Seen on the test: 402 for a turn that the budget held. Ruled out: lost replies (taken back already). Change: the reservation is held from before its first write on; dropped, it writes the ledger, which voids or undoes it.

--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -129,7 +129,9 @@
     /// Sets a turn's most tokens aside, durably, before it runs.
     ///
     /// A lost reply is no refusal and no grant: the same write is tried again, and finds the
-    /// reservation if the first one took effect.
+    /// reservation if the first one took effect. A reservation that is given up, or whose caller
+    /// leaves, while its write may still take effect is taken back: any write of the ledger voids the
+    /// condition of the one on its way. Left alone, it would end the program's budget too soon.
     pub(crate) async fn reserve(
         self: &Rc<Self>,
         program: &ProgramName,
@@ -138,6 +140,10 @@
         limit: Instant,
     ) -> Result<TurnReservation, ReserveError> {
         let mut fresh = false;
+        // Set once a write may take effect without having been seen to.
+        let mut doubtful = false;
+        let mut held = self.reservation(program, turn);
+        held.settled = true;
         loop {
             let (version, mut ledger) = self.ledger(program);
             ledger.keep_until(self.kept_until(claim.retention));
@@ -151,27 +157,34 @@
                 fresh = true;
                 continue;
             }
+            // A caller that leaves while this is under way drops what is held here.
+            held.settled = false;
             let transaction = ledger_write(program, version, &ledger);
             match self.committer.commit(transaction, RESERVE_PATIENCE).await {
                 Ok(CommitReply::Committed(version)) => {
                     self.cache.borrow_mut().set_ledger(program, version, ledger);
-                    return Ok(self.reservation(program, turn));
+                    return Ok(held);
                 }
                 Ok(CommitReply::Conflict(rows)) => {
-                    if self.take_conflict(program, version, rows) {
+                    let expired = self.take_conflict(program, version, rows);
+                    if self.ledger(program).1.is_open(turn) {
+                        return Ok(held);
+                    }
+                    // Nothing stands, and no write still on its way can meet its condition.
+                    held.settled = true;
+                    doubtful = false;
+                    if expired {
                         return Err(ReserveError::Expired);
                     }
                     fresh = true;
-                    if self.ledger(program).1.is_open(turn) {
-                        return Ok(self.reservation(program, turn));
-                    }
+                }
+                Err(StoreError::Unavailable) => {
+                    held.settled = !doubtful;
+                    return Err(ReserveError::Store(StoreError::Unavailable));
                 }
                 Err(error) => {
-                    if error == StoreError::Unavailable {
-                        return Err(ReserveError::Store(error));
-                    }
+                    doubtful = true;
                     if Instant::now() + RETRY_PAUSE >= limit {
-                        self.abandon(program, turn);
                         return Err(ReserveError::Store(error));
                     }
                     sleep(RETRY_PAUSE).await;
@@ -224,13 +237,6 @@
         }
     }
 
-    /// Takes back a reservation that may still take effect, though its turn will not run.
-    ///
-    /// Any write of the ledger voids the condition of the one that may still be on its way.
-    fn abandon(self: &Rc<Self>, program: &ProgramName, turn: &TurnId) {
-        drop(self.reservation(program, turn));
-    }
-
     /// Replaces a reservation by what was used, together with the turn's record if there is one.
     /// False if that could not be made durable before `limit`.
     async fn settle(
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -176,6 +176,24 @@
     assert!(deployment.runs().len() <= 2);
 }
 
+/// The caller leaves while the reservation's write is on its way, and the write takes effect later. The
+/// turn never runs; its tokens must return, or the program's next turn would be refused for good.
+#[actix_rt::test]
+async fn a_reservation_whose_caller_left_is_taken_back() {
+    let deployment = Deployment::start(1, 1).await;
+    let late = Duration::from_millis(600);
+    deployment.store.set_fault(StoreFault::LateWrites(1, late));
+    let mut caller = deployment.gateway().connect().await;
+    caller.send(budgeted_turn("t1", "p", None, "x", 6).as_bytes()).await;
+    wait_until("the write is on its way", async || deployment.store.fault() == StoreFault::None)
+        .await;
+    drop(caller);
+    tokio::time::sleep(late * 2).await;
+    let answer = deployment.gateway().call(&budgeted_turn("t2", "p", None, "x", 6)).await;
+    assert_eq!(answer.status(), 200, "the whole budget is there");
+    assert_eq!(deployment.runs().len(), 1);
+}
+
 /// The store turns one instance away and serves the other: its calls go by the peer.
 #[actix_rt::test]
 async fn a_peer_relays_store_calls() {
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -73,6 +73,10 @@
         self.state.borrow_mut().fault = fault;
     }
 
+    pub fn fault(&self) -> StoreFault {
+        self.state.borrow().fault
+    }
+
     /// Writes a row as the operator or an upstream would.
     pub fn put(&self, table: &str, key: &str, value: &Value) {
         let bytes = serde_json::to_vec(value).expect("values serialize");
