Measure store calls by kind and outcome, reservations, upstreams aside, age of routes

Cause: the store's calls were one number; what they were spent on could not be told, and a conflict or a lost answer was not visible. Reservations, upstreams that are passed over and how old the routes are were not measured at all. A log without a reader was tried on a writer only, never on the program. Ruled out: a log line a store call (some 30 a second an instance).

--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -138,6 +138,11 @@
         self.upstreams.len()
     }
 
+    /// Upstreams that are passed over after failures.
+    pub fn aside(&self, now: Instant) -> usize {
+        self.upstreams.values().filter(|known| known.health.is_aside(now)).count()
+    }
+
     pub fn is_empty(&self) -> bool {
         self.upstreams.is_empty()
     }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -99,7 +99,14 @@
         let most = call.head.max_output.unwrap_or(0);
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
         let claim = TurnClaim { most, budget, retention };
-        self.turns.reserve(program, &call.id, claim, limit).await
+        let reserved = self.turns.reserve(program, &call.id, claim, limit).await;
+        self.metrics.reserved(match &reserved {
+            Ok(_) => "reserved",
+            Err(ReserveError::Exhausted { .. }) => "exhausted",
+            Err(ReserveError::Expired) => "expired",
+            Err(ReserveError::Store(_)) => "store_failed",
+        });
+        reserved
     }
 
     fn reserve_refusal(
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -3,13 +3,35 @@
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use super::rows::StoreCallKind;
 use crate::util::meter::MeterExposition;
 
 /// Upper ends of the latency buckets, in seconds.
 const LATENCY_BOUNDARIES: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+const SCOPE: &str = "merlinsaddle-gateway";
+
+fn latency_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
+    meter.f64_histogram(name).with_boundaries(LATENCY_BOUNDARIES.to_vec()).build()
+}
+
+/// Calls of the store over the direct way, also those made for peers.
+pub(crate) struct StoreMeter {
+    calls: Counter<u64>,
+    /// Time to the whole answer; a question for changes includes what the store holds it.
+    call_seconds: Histogram<f64>,
+}
+
+impl StoreMeter {
+    pub(crate) fn call_ended(&self, kind: StoreCallKind, outcome: &'static str, elapsed: Duration) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.call_seconds.record(elapsed.as_secs_f64(), std::slice::from_ref(&kind));
+        self.calls.add(1, &[kind, KeyValue::new("outcome", outcome)]);
+    }
+}
+
 /// One call that has ended.
 pub(crate) struct CallSample<'a> {
     pub(crate) route: &'a str,
@@ -26,10 +48,15 @@
 pub(crate) struct GatewaySample {
     pub(crate) members: u64,
     pub(crate) upstreams: u64,
+    /// Upstreams that are passed over after failures.
+    pub(crate) upstreams_aside: u64,
     pub(crate) routes_version: u64,
+    /// Time since the routes were last read or confirmed.
+    pub(crate) routes_age: Duration,
     pub(crate) cached_bytes: u64,
     pub(crate) open_calls: u64,
-    pub(crate) store_calls: u64,
+    /// Turns that hold tokens set aside, or wait for that.
+    pub(crate) reservations: u64,
     pub(crate) store_batches: u64,
     pub(crate) store_outage: Duration,
 }
@@ -45,10 +72,13 @@
     added_seconds: Histogram<f64>,
     members: Gauge<u64>,
     upstreams: Gauge<u64>,
+    upstreams_aside: Gauge<u64>,
     routes_version: Gauge<u64>,
+    routes_age_seconds: Gauge<f64>,
     cached_bytes: Gauge<u64>,
     open_calls: Gauge<u64>,
-    store_calls: Gauge<u64>,
+    reservations: Gauge<u64>,
+    reserved: Counter<u64>,
     store_batches: Gauge<u64>,
     store_outage_seconds: Gauge<f64>,
 }
@@ -56,10 +86,8 @@
 impl GatewayMetrics {
     pub(crate) fn new(instance: &str) -> Self {
         let exposition = MeterExposition::new(instance);
-        let meter = exposition.meter("merlinsaddle-gateway");
-        let histogram = |name: &'static str| {
-            meter.f64_histogram(name).with_boundaries(LATENCY_BOUNDARIES.to_vec()).build()
-        };
+        let meter = exposition.meter(SCOPE);
+        let histogram = |name| latency_histogram(&meter, name);
         Self {
             exposition,
             calls: meter.u64_counter("gateway_calls").build(),
@@ -70,10 +98,13 @@
             added_seconds: histogram("gateway_added_seconds"),
             members: meter.u64_gauge("gateway_members").build(),
             upstreams: meter.u64_gauge("gateway_upstreams").build(),
+            upstreams_aside: meter.u64_gauge("gateway_upstreams_aside").build(),
             routes_version: meter.u64_gauge("gateway_routes_version").build(),
+            routes_age_seconds: meter.f64_gauge("gateway_routes_age_seconds").build(),
             cached_bytes: meter.u64_gauge("gateway_cached_bytes").build(),
             open_calls: meter.u64_gauge("gateway_open_calls").build(),
-            store_calls: meter.u64_gauge("gateway_store_calls").build(),
+            reservations: meter.u64_gauge("gateway_open_reservations").build(),
+            reserved: meter.u64_counter("gateway_reservations").build(),
             store_batches: meter.u64_gauge("gateway_store_batches").build(),
             store_outage_seconds: meter.f64_gauge("gateway_store_outage_seconds").build(),
         }
@@ -97,13 +128,29 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Notes whether tokens were set aside for a turn.
+    pub(crate) fn reserved(&self, outcome: &'static str) {
+        self.reserved.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// Instruments for calls of the store.
+    pub(crate) fn store_meter(&self) -> StoreMeter {
+        let meter = self.exposition.meter(SCOPE);
+        StoreMeter {
+            calls: meter.u64_counter("gateway_store_calls").build(),
+            call_seconds: latency_histogram(&meter, "gateway_store_call_seconds"),
+        }
+    }
+
     pub(crate) fn sample(&self, sample: &GatewaySample) {
         self.members.record(sample.members, &[]);
         self.upstreams.record(sample.upstreams, &[]);
+        self.upstreams_aside.record(sample.upstreams_aside, &[]);
         self.routes_version.record(sample.routes_version, &[]);
+        self.routes_age_seconds.record(sample.routes_age.as_secs_f64(), &[]);
         self.cached_bytes.record(sample.cached_bytes, &[]);
         self.open_calls.record(sample.open_calls, &[]);
-        self.store_calls.record(sample.store_calls, &[]);
+        self.reservations.record(sample.reservations, &[]);
         self.store_batches.record(sample.store_batches, &[]);
         self.store_outage_seconds.record(sample.store_outage.as_secs_f64(), &[]);
     }
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -28,6 +28,7 @@
 use std::rc::Rc;
 
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use committer::StoreCommitter;
 use dialect::GatewayDialect;
@@ -73,10 +74,12 @@
         self.metrics.sample(&GatewaySample {
             members: self.members.alive() as u64,
             upstreams: self.news.upstreams.borrow().len() as u64,
+            upstreams_aside: self.news.upstreams.borrow().aside(Instant::now()) as u64,
             routes_version: self.news.routes().map_or(0, |table| table.version),
+            routes_age: self.news.routes_age(),
             cached_bytes: self.turns.cached_bytes() as u64,
             open_calls: self.open_calls.get().into(),
-            store_calls: self.store.calls(),
+            reservations: self.turns.reservations(),
             store_batches: self.committer.batches(),
             store_outage: self.store.outage().unwrap_or_default(),
         });
--- a/src/gateway/rows.rs
+++ b/src/gateway/rows.rs
@@ -5,6 +5,7 @@
 
 use actix_http::Method;
 use bytes::Bytes;
+use derive_more::Display;
 
 /// Number of a change of the store; rises with every transaction.
 pub type RowVersion = u64;
@@ -127,9 +128,26 @@
     HistoryGone,
 }
 
+/// What a call to the store is for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum StoreCallKind {
+    #[display("commit")]
+    Commit,
+    #[display("range")]
+    Range,
+    #[display("parts")]
+    Parts,
+    #[display("changes")]
+    Changes,
+    /// Made for a peer that does not reach the store itself.
+    #[display("relayed")]
+    Relayed,
+}
+
 /// One HTTP call to the store, as the dialect spells it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoreCall {
+    pub kind: StoreCallKind,
     pub method: Method,
     /// Path and query.
     pub target: Box<str>,
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -104,7 +104,9 @@
     let pool = Rc::new(ConnectionPool::default());
     let across = settings.store_across_parts.unwrap_or(false);
     let address = &settings.store_address;
-    let store = Rc::new(StoreLink::new(address, pool.clone(), dialect.clone(), across));
+    let metrics = GatewayMetrics::new(&settings.instance);
+    let meter = metrics.store_meter();
+    let store = Rc::new(StoreLink::new(address, pool.clone(), dialect.clone(), across, meter));
     let members = Rc::new(MemberView::new(&settings, sockets.gossip, seed));
     store.set_peers(members.clone());
     let news = Rc::new(StoreNews::new(store.clone(), dialect.clone()));
@@ -115,7 +117,7 @@
     let row_bytes = settings.store_row_bytes;
     let turns = TurnKeeper::new(store.clone(), committer.clone(), cache_bytes, row_bytes);
     let gateway = Rc::new(Gateway {
-        metrics: GatewayMetrics::new(&settings.instance),
+        metrics,
         settings,
         dialect,
         pool,
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -15,8 +15,10 @@
 
 use super::dialect::GatewayDialect;
 use super::http::{ConnectionPool, ExchangeError};
+use super::metrics::StoreMeter;
 use super::rows::{
     ChangesReply, CommitReply, RangeReply, RowRange, RowTransaction, RowVersion, StoreCall,
+    StoreCallKind,
 };
 use crate::node::platform::StoreError;
 
@@ -116,7 +118,7 @@
     peers: RefCell<Option<Rc<dyn RelayPeers>>>,
     health: RefCell<StoreHealth>,
     returned: Notify,
-    calls: Cell<u64>,
+    meter: StoreMeter,
     /// The store's clock and when it was read.
     clock: Cell<Option<(Duration, Instant)>>,
     across: bool,
@@ -128,6 +130,7 @@
         pool: Rc<ConnectionPool>,
         dialect: Rc<dyn GatewayDialect>,
         across: bool,
+        meter: StoreMeter,
     ) -> Self {
         Self {
             address: address.into(),
@@ -136,7 +139,7 @@
             peers: RefCell::default(),
             health: RefCell::default(),
             returned: Notify::new(),
-            calls: Cell::new(0),
+            meter,
             clock: Cell::new(None),
             across,
         }
@@ -163,11 +166,6 @@
         }
     }
 
-    /// Calls made so far, relayed ones for peers included.
-    pub(crate) fn calls(&self) -> u64 {
-        self.calls.get()
-    }
-
     pub(crate) async fn commit(
         &self,
         transaction: &RowTransaction,
@@ -297,13 +295,14 @@
     }
 
     async fn send_direct(&self, call: &StoreCall, fresh: bool, limit: Duration) -> StoreAnswer {
-        self.calls.set(self.calls.get() + 1);
         if fresh {
             self.pool.forget(&self.address);
         }
         let body = call.body.clone();
         let method = call.method.clone();
+        let begun = Instant::now();
         let answer = self.pool.exchange(&self.address, method, &call.target, body, limit).await;
+        self.meter.call_ended(call.kind, call_outcome(&answer), begun.elapsed());
         match answer {
             // Refused, with nothing done: another instance may be served all the same.
             Ok((status, _)) if matches!(status.as_u16(), 429 | 503) => Err(StoreError::Unavailable),
@@ -404,6 +403,7 @@
         let request: RelayRequest =
             serde_json::from_slice(request).map_err(|_| RelayError::Malformed)?;
         let call = StoreCall {
+            kind: StoreCallKind::Relayed,
             method: request.method.parse().map_err(|_| RelayError::Malformed)?,
             target: request.target,
             body: STANDARD.decode(&*request.body).map_err(|_| RelayError::Malformed)?.into(),
@@ -433,6 +433,19 @@
     NoAnswer,
 }
 
+/// How a call ended, as the metrics name it.
+fn call_outcome(answer: &Result<(StatusCode, Bytes), ExchangeError>) -> &'static str {
+    match answer {
+        Ok((StatusCode::PRECONDITION_FAILED, _)) => "conflict",
+        Ok((StatusCode::TOO_MANY_REQUESTS, _)) => "over_rate",
+        Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => "turned_away",
+        Ok((status, _)) if status.is_success() => "answered",
+        Ok(_) => "rejected",
+        Err(ExchangeError::NotSent(_)) => "not_sent",
+        Err(_) => "lost",
+    }
+}
+
 fn read_relay(answer: &[u8]) -> Result<(u16, Bytes), StoreError> {
     let malformed =
         |message: &dyn ToString| StoreError::Malformed { message: message.to_string().into() };
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -51,6 +51,11 @@
         self.routes.borrow().current()
     }
 
+    /// How long ago the routes were last read or confirmed; zero while none are known.
+    pub(crate) fn routes_age(&self) -> Duration {
+        self.routes.borrow().confirmed().map_or(Duration::ZERO, |at| at.elapsed())
+    }
+
     /// Whether requests can be served: routes and upstreams have been read at least once.
     pub(crate) fn is_complete(&self) -> bool {
         self.upstreams_known.get() && self.routes.borrow().current().is_some()
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -3,7 +3,7 @@
 mod chain;
 mod rows;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -62,6 +62,8 @@
     cache: RefCell<TurnCache>,
     /// Largest value of a row, in bytes.
     row_bytes: usize,
+    /// Turns that hold or are getting a reservation.
+    reservations: Cell<u64>,
 }
 
 /// Tokens set aside for a running turn. Dropped, it settles for what was passed on.
@@ -95,6 +97,7 @@
 impl Drop for TurnReservation {
     /// A turn that broke off leaves no record; its unused tokens go back to the program.
     fn drop(&mut self) {
+        self.keeper.reservations.set(self.keeper.reservations.get() - 1);
         if self.settled {
             return;
         }
@@ -115,13 +118,18 @@
         row_bytes: usize,
     ) -> Self {
         let cache = RefCell::new(TurnCache::new(cache_bytes));
-        Self { store, committer, cache, row_bytes }
+        Self { store, committer, cache, row_bytes, reservations: Cell::new(0) }
     }
 
     pub(crate) fn cached_bytes(&self) -> usize {
         self.cache.borrow().bytes()
     }
 
+    /// Turns of this instance that hold a reservation or wait for one.
+    pub(crate) fn reservations(&self) -> u64 {
+        self.reservations.get()
+    }
+
     fn ledger(&self, program: &str) -> (RowVersion, ProgramLedger) {
         self.cache.borrow().ledger(program).unwrap_or_default()
     }
@@ -228,6 +236,7 @@
     }
 
     fn reservation(self: &Rc<Self>, program: &ProgramName, turn: &TurnId) -> TurnReservation {
+        self.reservations.set(self.reservations.get() + 1);
         TurnReservation {
             keeper: self.clone(),
             program: program.clone(),
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -3,7 +3,11 @@
 mod platform_standin;
 mod workdir;
 
-use std::process::Child;
+use std::io::Read;
+use std::process::{Child, ChildStdout};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
 use std::time::Duration;
 
 use platform_standin::engine::EngineAct;
@@ -11,6 +15,7 @@
 use platform_standin::store::StoreFault;
 use platform_standin::{Deployment, budgeted_turn, call, wait_until};
 use serde_json::json;
+use tokio::time::timeout;
 use workdir::WorkDir;
 
 /// The real program with its log in a file.
@@ -18,29 +23,96 @@
     dir: WorkDir,
     child: Child,
     callers: String,
+    peers: String,
+}
+
+/// A log that a thread reads from a pipe, unless it is told to stop for a while.
+struct PipedLog {
+    text: Arc<Mutex<String>>,
+    stopped: Arc<AtomicBool>,
+}
+
+impl PipedLog {
+    fn read(mut pipe: ChildStdout) -> Self {
+        let (text, stopped) = (Arc::new(Mutex::default()), Arc::new(AtomicBool::new(false)));
+        let log = Self { text: text.clone(), stopped: stopped.clone() };
+        thread::spawn(move || {
+            let mut chunk = [0; 4096];
+            loop {
+                while stopped.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(10));
+                }
+                match pipe.read(&mut chunk) {
+                    Ok(0) | Err(_) => return,
+                    Ok(len) => {
+                        let mut text: MutexGuard<'_, String> = text.lock().expect("not poisoned");
+                        text.push_str(&String::from_utf8_lossy(&chunk[..len]));
+                    }
+                }
+            }
+        });
+        log
+    }
+
+    fn text(&self) -> String {
+        self.text.lock().expect("not poisoned").clone()
+    }
+
+    fn stop_reading(&self, stopped: bool) {
+        self.stopped.store(stopped, Ordering::Relaxed);
+    }
+}
+
+/// Writes settings with free ports and returns their path.
+fn settings_file(dir: &WorkDir, store: &str) -> String {
+    let any = "127.0.0.1:0";
+    let settings = json!({
+        "instance": "gateway-1", "zone": "zone-a", "region": "region",
+        "caller_address": any, "ready_address": any, "directory_address": any,
+        "peer_address": any, "gossip_port": 0, "seeds": [], "store_address": store,
+        "store_row_bytes": 65536, "store_across_parts": true, "memory_mb": 130,
+        "grace_seconds": 8, "address_keep_seconds": 0.2,
+    });
+    dir.file("settings.json", &settings.to_string())
+}
+
+/// An address that the line of the start names.
+fn address(log: &str, field: &str) -> String {
+    let line = log.lines().find(|line| line.contains("event=started"));
+    let rest = line.and_then(|line| line.split(field).nth(1)).expect("the start names it");
+    rest.split_whitespace().next().expect("an address follows").to_owned()
 }
 
 impl GatewayProcess {
     async fn start(name: &str, store: &str) -> Self {
         let dir = WorkDir::new(name);
-        let any = "127.0.0.1:0";
-        let settings = json!({
-            "instance": "gateway-1", "zone": "zone-a", "region": "region",
-            "caller_address": any, "ready_address": any, "directory_address": any,
-            "peer_address": any, "gossip_port": 0, "seeds": [], "store_address": store,
-            "store_row_bytes": 65536, "store_across_parts": true, "memory_mb": 130,
-            "grace_seconds": 8, "address_keep_seconds": 0.2,
-        });
-        let path = dir.file("settings.json", &settings.to_string());
+        let path = settings_file(&dir, store);
         let child = dir.spawn("gateway.log", &["gateway", &path]);
-        let mut process = Self { dir, child, callers: String::new() };
+        let mut process = Self { dir, child, callers: String::new(), peers: String::new() };
         wait_until("it is ready", async || process.log().contains("event=ready")).await;
-        let log = process.log();
-        let address = log.split("caller_address=").nth(1).and_then(|rest| rest.split(' ').next());
-        process.callers = address.expect("the start names the address").to_owned();
+        process.callers = address(&process.log(), "caller_address=");
+        process.peers = address(&process.log(), "peer_address=");
         process
     }
 
+    /// Starts it with its log in a pipe.
+    async fn start_piped(name: &str, store: &str) -> (Self, PipedLog) {
+        let dir = WorkDir::new(name);
+        let path = settings_file(&dir, store);
+        let mut child = dir.spawn_piped(&["gateway", &path]);
+        let log = PipedLog::read(child.stdout.take().expect("the log is a pipe"));
+        wait_until("it is ready", async || log.text().contains("event=ready")).await;
+        let callers = address(&log.text(), "caller_address=");
+        let peers = address(&log.text(), "peer_address=");
+        (Self { dir, child, callers, peers }, log)
+    }
+
+    async fn metrics(&self) -> String {
+        let mut wire = Wire::connect(&self.peers).await;
+        wire.send(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n").await;
+        wire.read_message(true).await.expect("metrics come").text()
+    }
+
     fn log(&self) -> String {
         self.dir.read("gateway.log")
     }
@@ -130,6 +202,73 @@
     assert!(tells(&gateway.story("t3").await, &["outcome=no_such_turn status=404"]));
 }
 
+/// Whether a metric with all these labels stands at a value.
+fn measures(metrics: &str, name: &str, labels: &[&str], value: &str) -> bool {
+    let is_it =
+        |line: &&str| line.starts_with(name) && labels.iter().all(|label| line.contains(label));
+    metrics.lines().find(is_it).is_some_and(|line| line.ends_with(&format!(" {value}")))
+}
+
+/// One turn is answered, one finds its budget spent, one comes while the store is away. Each leaves
+/// its count, the store's calls are told apart by kind, and the routes' age is told.
+#[actix_rt::test]
+async fn metrics_tell_store_calls_and_reservations_apart() {
+    let deployment = Deployment::start(0, 1).await;
+    let gateway = GatewayProcess::start("metrics", &deployment.store_address).await;
+    gateway.call(&budgeted_turn("t1", "p", None, "x", 8)).await;
+    gateway.call(&budgeted_turn("t2", "p", None, "x", 8)).await;
+    let metrics = gateway.metrics().await;
+    let reservations = "gateway_reservations_total{";
+    assert!(measures(&metrics, reservations, &[r#"outcome="reserved""#], "1"), "{metrics}");
+    assert!(measures(&metrics, reservations, &[r#"outcome="exhausted""#], "1"), "{metrics}");
+    let answered = [r#"kind="commit""#, r#"outcome="answered""#];
+    assert!(measures(&metrics, "gateway_store_calls_total{", &answered, "2"), "{metrics}");
+    let commits = "gateway_store_call_seconds_count{";
+    assert!(measures(&metrics, commits, &[r#"kind="commit""#], "2"), "{metrics}");
+    assert!(metrics.contains(r#"kind="range""#) && metrics.contains(r#"kind="changes""#));
+    assert!(measures(&metrics, "gateway_open_reservations{", &[], "0"), "{metrics}");
+    assert!(measures(&metrics, "gateway_upstreams_aside{", &[], "0"), "{metrics}");
+    assert!(metrics.contains("gateway_routes_age_seconds{"), "{metrics}");
+
+    deployment.store.set_fault(StoreFault::Busy);
+    gateway.call(&budgeted_turn("t3", "q", None, "x", 8)).await;
+    let metrics = gateway.metrics().await;
+    assert!(measures(&metrics, reservations, &[r#"outcome="store_failed""#], "1"), "{metrics}");
+    assert!(metrics.contains(r#"outcome="turned_away""#), "{metrics}");
+}
+
+/// Nobody reads the log any more: the pipe fills up, then the queue before it. Callers go on getting
+/// their answers as fast as before; when somebody reads again, the log says how much is missing.
+#[actix_rt::test]
+async fn a_stopped_reader_of_the_log_costs_callers_nothing() {
+    /// More than the pipe, the batch being written and the queue hold.
+    const REFUSED: usize = 2_700;
+    const SLOWEST: Duration = Duration::from_secs(1);
+    let deployment = Deployment::start(0, 1).await;
+    let (gateway, log) = GatewayProcess::start_piped("no_reader", &deployment.store_address).await;
+    log.stop_reading(true);
+    for number in 0..REFUSED {
+        let id = format!("refused-{number}-{}", "x".repeat(150));
+        let request = call("nowhere", &id);
+        let answer = timeout(SLOWEST, gateway.call(&request)).await.expect("refused in time");
+        assert_eq!(answer.status(), 404);
+        // Below the log's budget of lines a second: only the queue can be what drops them.
+        tokio::time::sleep(Duration::from_millis(2)).await;
+    }
+    for number in 0..20 {
+        let request = budgeted_turn(&format!("t{number}"), "p", None, "x", 900);
+        let answer = timeout(SLOWEST, gateway.call(&request)).await.expect("answered in time");
+        assert_eq!((answer.status(), answer.whole), (200, true));
+    }
+    log.stop_reading(false);
+    wait_until("the log says with its next line what is missing", async || {
+        gateway.call(&call("nowhere", "late")).await;
+        log.text().contains("event=log_lines_left_out count=")
+    })
+    .await;
+    assert!(log.text().lines().count() < REFUSED, "what did not fit was dropped");
+}
+
 /// The settings change with and without a signal, once to nonsense; then the process is stopped.
 #[actix_rt::test]
 async fn settings_are_read_again_and_a_stop_ends_with_zero() {
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -71,6 +71,13 @@
         command.args(args).stdout(Stdio::from(log)).stderr(Stdio::from(errors));
         command.spawn().expect("the program starts")
     }
+
+    /// Starts the program in the background with its output in a pipe.
+    pub fn spawn_piped(&self, args: &[&str]) -> Child {
+        let mut command = Command::new(PROGRAM);
+        command.args(args).stdout(Stdio::piped()).stderr(Stdio::null());
+        command.spawn().expect("the program starts")
+    }
 }
 
 impl Drop for WorkDir {
