Settle a turn by its record, without writing the program's ledger

A turn's end wrote the ledger, which turns of the same program running in parallel write too; the loser and, once, all that travelled with it went out again. Ruled out: reservations of several instances at the same moment as the main cause (they remain). Change: the record says how many tokens the turn passed on; whoever reads it replaces the reservation with its next write of the ledger. Only turns that broke off still write the ledger. A program is kept from the reservation until the caller's deadline and the retention after it, as its end is no longer written.

--- a/src/core/turns/cache.rs
+++ b/src/core/turns/cache.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 
 use super::{ProgramLedger, ProgramName, TurnId, TurnRecord};
+use crate::core::ids::Tokens;
 
 /// Version of a row; 0 if there is none.
 pub type RowVersion = u64;
@@ -92,9 +93,18 @@
         self.turns.get(turn).map(|turn| turn.program.clone())
     }
 
-    /// The ledger as it was last read or written here.
+    /// The ledger as it was last read or written here, with what is known of its turns that have
+    /// ended since.
     pub fn ledger(&self, program: &str) -> Option<(RowVersion, ProgramLedger)> {
-        self.programs.get(program)?.ledger.clone()
+        let (version, mut ledger) = self.programs.get(program)?.ledger.clone()?;
+        let ended: Vec<(TurnId, Tokens)> = ledger
+            .open_turns()
+            .filter_map(|turn| Some((turn.clone(), self.turns.get(turn)?.record.used)))
+            .collect();
+        for (turn, used) in ended {
+            ledger.settle(&turn, used);
+        }
+        Some((version, ledger))
     }
 
     /// Notes the ledger's newest known state; an older one changes nothing.
--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -9,8 +9,10 @@
 
 /// What a program has spent and what its running turns may still spend.
 ///
-/// It is one row of the store, written conditionally. A turn that dies with its instance leaves
-/// its reservation behind: its tokens may have reached the caller, so they stay spent.
+/// It is one row of the store, written conditionally. A turn that ended whole is settled by its
+/// record: whoever knows that replaces the reservation when it next writes the ledger. A turn that
+/// dies with its instance leaves its reservation behind: its tokens may have reached the caller,
+/// so they stay spent.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProgramLedger {
     #[serde(rename = "s", default)]
@@ -58,6 +60,11 @@
         reserved
     }
 
+    /// Turns whose tokens are set aside.
+    pub fn open_turns(&self) -> impl Iterator<Item = &TurnId> {
+        self.open.keys()
+    }
+
     /// Keeps the program's turns until a time of the store's clock at least, in milliseconds.
     pub fn keep_until(&mut self, millis: u64) {
         self.kept_until = self.kept_until.max(millis);
--- a/src/core/turns/record.rs
+++ b/src/core/turns/record.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{ProgramName, TurnId};
-use crate::core::ids::UpstreamId;
+use crate::core::ids::{Tokens, UpstreamId};
 
 /// What a caller sent and what the engine answered. It never changes once it is written.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +18,8 @@
     pub origin: Option<ProgramName>,
     /// The engine that ran it and so holds the chain in its memory.
     pub upstream: UpstreamId,
+    /// Tokens passed on to the caller. The record settles the turn's reservation by being there.
+    pub used: Tokens,
     /// The caller's new input.
     pub input: Bytes,
     /// The data of each event, each followed by a line feed.
@@ -33,6 +35,8 @@
     origin: Option<ProgramName>,
     #[serde(rename = "u")]
     upstream: UpstreamId,
+    #[serde(rename = "t")]
+    used: Tokens,
     #[serde(rename = "i")]
     input: usize,
 }
@@ -51,6 +55,7 @@
             previous: self.previous.clone(),
             origin: self.origin.clone(),
             upstream: self.upstream.clone(),
+            used: self.used,
             input: self.input.len(),
         };
         let head = serde_json::to_vec(&head).expect("heads serialize");
@@ -76,6 +81,7 @@
             previous: head.previous,
             origin: head.origin,
             upstream: head.upstream,
+            used: head.used,
             input: body.slice(..head.input),
             output: body.slice(head.input..),
         })
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -5,6 +5,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use super::CallContext;
 use crate::core::ids::{Tokens, UpstreamId};
@@ -92,6 +93,8 @@
         chain: &TurnChain,
     ) -> Result<TurnReservation, ReserveError> {
         let retention = call.route.retention.unwrap_or_default();
+        // It is kept from its end on, which is not written apart.
+        let retention = retention + call.deadline.saturating_duration_since(Instant::now());
         for origin in chain.origins() {
             self.turns.keep(&origin, retention, call.deadline).await?;
         }
@@ -145,6 +148,7 @@
             previous: self.previous.clone(),
             origin: self.origin.clone(),
             upstream: upstream.clone(),
+            used: self.reservation.used(),
             input: self.input.clone(),
             output: events.into_output(),
         }
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -11,7 +11,7 @@
 
 use self::rows::ledger_write;
 use super::committer::StoreCommitter;
-use super::rows::{CommitReply, RowVersion, StoredRow};
+use super::rows::{CommitReply, RowTransaction, RowVersion};
 use super::store::StoreLink;
 use crate::core::ids::Tokens;
 use crate::core::turns::{ProgramLedger, ProgramName, ReserveReply, TurnCache, TurnId, TurnRecord};
@@ -81,16 +81,20 @@
         self.used += tokens;
     }
 
-    /// Writes the turn and what it used; it is durable when this returns.
+    /// Tokens passed on so far.
+    pub(crate) fn used(&self) -> Tokens {
+        self.used
+    }
+
+    /// Writes the turn, which also settles what it used; it is durable when this returns.
     ///
     /// The write goes on if the caller of this function is dropped.
     pub(crate) async fn complete(mut self, record: TurnRecord, limit: Instant) -> bool {
         self.settled = true;
         let keeper = self.keeper.clone();
-        let (program, turn, used) = (self.program.clone(), self.turn.clone(), self.used);
-        let record = Rc::new(record);
-        let settle = async move { keeper.settle(&program, &turn, used, Some(record), limit).await };
-        actix_rt::spawn(settle).await.unwrap_or(false)
+        let (program, turn) = (self.program.clone(), self.turn.clone());
+        let keep = async move { keeper.record(&program, &turn, record, limit).await };
+        actix_rt::spawn(keep).await.unwrap_or(false)
     }
 }
 
@@ -105,7 +109,7 @@
         let (program, turn, used) = (self.program.clone(), self.turn.clone(), self.used);
         actix_rt::spawn(async move {
             let limit = Instant::now() + BACKGROUND_LIMIT;
-            keeper.settle(&program, &turn, used, None, limit).await;
+            keeper.settle(&program, &turn, used, limit).await;
         });
     }
 }
@@ -246,59 +250,81 @@
         }
     }
 
-    /// Replaces a reservation by what was used, together with the turn's record if there is one.
-    /// False if that could not be made durable before `limit`.
-    async fn settle(
+    /// Writes a turn's record; false if it could not be made durable before `limit`.
+    ///
+    /// The ledger is left alone: the record itself says what was used. Writing both, a fifth of the
+    /// transactions met a change of the ledger by another turn of the program, and went out again.
+    async fn record(
         &self,
         program: &ProgramName,
         turn: &TurnId,
-        used: Tokens,
-        record: Option<Rc<TurnRecord>>,
+        record: TurnRecord,
         limit: Instant,
     ) -> bool {
-        let pieces = record.as_ref().map(|record| self.pieces(program, turn, record));
-        let pieces = pieces.unwrap_or_default();
+        let puts = self.pieces(program, turn, &record);
+        let first = puts.first().map(|(key, _)| (key.clone(), 0));
+        let checks = first.into_iter().collect();
+        let transaction = RowTransaction { checks, puts, removals: Vec::new() };
+        loop {
+            match self.committer.commit(transaction.clone(), SETTLE_PATIENCE).await {
+                // In a conflict the row is there: an earlier try took effect, its reply was lost.
+                Ok(CommitReply::Committed(_) | CommitReply::Conflict(_)) => break,
+                Err(error) => {
+                    if self.pause_before_retry(limit).await {
+                        continue;
+                    }
+                    log::warn!(
+                        "event=settle_failed program={program} turn={turn} used={} error=\"{error}\"",
+                        record.used
+                    );
+                    return false;
+                }
+            }
+        }
+        self.cache.borrow_mut().insert(program, turn.clone(), Rc::new(record));
+        true
+    }
+
+    /// Replaces the reservation of a turn that broke off by what was used.
+    async fn settle(&self, program: &ProgramName, turn: &TurnId, used: Tokens, limit: Instant) {
         loop {
             let (version, mut ledger) = self.ledger(program);
             ledger.settle(turn, used);
-            let mut transaction = ledger_write(program, version, &ledger);
-            if let Some((first, _)) = pieces.first() {
-                transaction.checks.push((first.clone(), 0));
-            }
-            transaction.puts.extend(pieces.iter().cloned());
+            let transaction = ledger_write(program, version, &ledger);
             match self.committer.commit(transaction, SETTLE_PATIENCE).await {
                 Ok(CommitReply::Committed(version)) => {
                     self.cache.borrow_mut().set_ledger(program, version, ledger);
-                    break;
+                    return;
                 }
                 Ok(CommitReply::Conflict(rows)) => {
-                    let stands = |row: &StoredRow| {
-                        row.version > 0 && pieces.first().is_some_and(|(key, _)| *key == row.key)
-                    };
-                    let written = rows.iter().any(stands);
                     self.take_conflict(program, version, rows);
                     // An earlier try took effect, and only its reply was lost.
-                    let closed = record.is_none() && !self.ledger(program).1.is_open(turn);
-                    if written || closed {
-                        break;
+                    if !self.ledger(program).1.is_open(turn) {
+                        return;
                     }
                 }
                 Err(error) => {
-                    if Instant::now() + RETRY_PAUSE >= limit {
-                        log::warn!(
-                            "event=settle_failed program={program} turn={turn} used={used} error=\"{error}\""
-                        );
-                        return false;
+                    if self.pause_before_retry(limit).await {
+                        continue;
                     }
-                    sleep(RETRY_PAUSE).await;
-                    // Not later than the caller gives up, though nothing is lost by trying on.
-                    let _ = timeout_at(limit, self.store.reachable()).await;
+                    log::warn!(
+                        "event=settle_failed program={program} turn={turn} used={used} error=\"{error}\""
+                    );
+                    return;
                 }
             }
         }
-        if let Some(record) = record {
-            self.cache.borrow_mut().insert(program, turn.clone(), record);
+    }
+
+    /// Waits before a write is tried again, while the store is away until it returns; false if the
+    /// limit leaves no time for that.
+    async fn pause_before_retry(&self, limit: Instant) -> bool {
+        if Instant::now() + RETRY_PAUSE >= limit {
+            return false;
         }
+        sleep(RETRY_PAUSE).await;
+        // Not later than the caller gives up, though nothing is lost by trying on.
+        let _ = timeout_at(limit, self.store.reachable()).await;
         true
     }
 }
