Count the doubt about removed upstreams from the store's return

An engine left without announcing it, so its entry was removed. The instance had just woken from a freeze, believed for 24 ms that the store was away, and doubts removals for 2.3 s after an outage. It counted these from its next successful question (0.7 s after the return) and looked whether they had passed only with the question after that (0.5 s more). Ruled out: late news (the removal was read within 0.7 s); the engine's entry coming back. Change: losses and returns of the store are followed as such, not by whether one question for upstreams failed; doubt counts from the return and ends by itself, without further news; after the return the question is asked at once. A single failed question is no outage any more. Tests, both seen failing: doubt_about_an_entry_ends_by_itself, an_entry_removed_after_an_outage_is_soon_believed.

--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::table::TrackedUpstream;
-use super::{PromptPart, UpstreamState, UpstreamTable};
+use super::{PromptPart, UpstreamTable};
 use crate::core::ids::UpstreamId;
 
 /// Prompt tokens an engine reads in a millisecond; measured on the users' engines (32.4), rounded.
@@ -93,7 +93,7 @@
         let salt = if request.affinity.is_some() { 0 } else { request.salt };
         let usable = self.upstreams.values().filter(|known| {
             *known.entry.service == *request.service
-                && known.entry.state == UpstreamState::Ready
+                && self.is_usable(known, request.now)
                 && !request.tried.contains(&known.entry.id)
         });
         let mut ranked: Vec<_> = usable
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -100,6 +100,13 @@
         self.upstreams.remove(id).is_some()
     }
 
+    /// Whether an upstream may be given work. One that vanished about an outage may until it should
+    /// have returned, which must not wait for further news: it may really have left.
+    pub(super) fn is_usable(&self, known: &TrackedUpstream, now: Instant) -> bool {
+        let listed = !known.missing || self.is_doubtful(now);
+        listed && known.entry.state == UpstreamState::Ready
+    }
+
     fn is_doubtful(&self, now: Instant) -> bool {
         let lately = self.back_since.is_some_and(|back| now < back + RETURN_GRACE);
         self.lost_since.is_some() || lately
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -142,7 +142,8 @@
     actix_rt::spawn(sweeper.run());
     actix_rt::spawn(members.run());
     actix_rt::spawn(news.clone().follow_routes());
-    actix_rt::spawn(news.follow_upstreams());
+    actix_rt::spawn(news.clone().follow_upstreams());
+    actix_rt::spawn(news.follow_outages());
     actix_rt::spawn(gateway.clone().do_chores());
     let ready = ready_handler(gateway.clone());
     let directory = directory_handler(gateway.clone());
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -117,7 +117,8 @@
     dialect: Rc<dyn GatewayDialect>,
     peers: RefCell<Option<Rc<dyn RelayPeers>>>,
     health: RefCell<StoreHealth>,
-    returned: Notify,
+    /// Tells of every loss and return of the store.
+    changed: Notify,
     meter: StoreMeter,
     /// The store's clock and when it was read.
     clock: Cell<Option<(Duration, Instant)>>,
@@ -138,7 +139,7 @@
             dialect,
             peers: RefCell::default(),
             health: RefCell::default(),
-            returned: Notify::new(),
+            changed: Notify::new(),
             meter,
             clock: Cell::new(None),
             across,
@@ -157,12 +158,21 @@
 
     /// Ends when the store is reachable, at once if it is.
     pub(crate) async fn reachable(&self) {
+        self.until(false).await;
+    }
+
+    /// Ends when no way to the store works.
+    pub(crate) async fn unreachable(&self) {
+        self.until(true).await;
+    }
+
+    async fn until(&self, away: bool) {
         loop {
-            let returned = self.returned.notified();
-            if self.outage().is_none() {
+            let changed = self.changed.notified();
+            if self.outage().is_some() == away {
                 return;
             }
-            returned.await;
+            changed.await;
         }
     }
 
@@ -370,6 +380,7 @@
             return;
         }
         health.lost = Some(Instant::now());
+        self.changed.notify_waiters();
         log::warn!("event=dependency_lost dependency=store way=any");
     }
 
@@ -394,7 +405,7 @@
         if let Some(since) = lost {
             let outage_ms = since.elapsed().as_millis();
             log::info!("event=dependency_regained dependency=store way=any outage_ms={outage_ms}");
-            self.returned.notify_waiters();
+            self.changed.notify_waiters();
         }
     }
 
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -143,7 +143,6 @@
         log::info!("event=upstreams_read count={}", entries.len());
         let now = Instant::now();
         let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.store_readable(true, now);
         upstreams.replace(entries, now);
         self.upstreams_known.set(true);
         Ok(oldest.unwrap_or_default())
@@ -174,18 +173,30 @@
                     after = self.first(|| self.read_upstreams()).await;
                 }
                 Err(_) => {
-                    self.upstreams.borrow_mut().store_readable(false, Instant::now());
                     sleep(RETRY_PAUSE).await;
+                    self.store.reachable().await;
+                    continue;
                 }
             }
             sleep(UPSTREAMS_PACE.saturating_sub(asked.elapsed())).await;
         }
     }
 
+    /// Notes when the store is away. How long entries that vanished are doubted counts from its
+    /// return: counted from the next news, one that had really left was given work for longer than
+    /// the two seconds that are allowed, at an instance that had long been calm.
+    pub(crate) async fn follow_outages(self: Rc<Self>) {
+        loop {
+            self.store.unreachable().await;
+            self.upstreams.borrow_mut().store_readable(false, Instant::now());
+            self.store.reachable().await;
+            self.upstreams.borrow_mut().store_readable(true, Instant::now());
+        }
+    }
+
     fn take_upstreams(&self, rows: &[StoredRow]) {
         let now = Instant::now();
         let mut upstreams = self.upstreams.borrow_mut();
-        upstreams.store_readable(true, now);
         for row in rows {
             let news = match row.value {
                 None => ListNews::Removed(row.key.key.clone()),
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -97,6 +97,21 @@
     .await;
 }
 
+/// An instance has no way to the store for a while. After that an engine leaves without a word, as
+/// some do: its entry is just removed. The doubt counts from the store's return, not from the next
+/// news, else the engine gets new work for longer than two seconds at a moment that is long calm.
+#[actix_rt::test]
+async fn an_entry_removed_after_an_outage_is_soon_believed() {
+    let deployment = Deployment::start(1, 1).await;
+    deployment.store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    deployment.store.set_fault(StoreFault::None);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.store.remove("servers", "e0");
+    tokio::time::sleep(Duration::from_millis(2_250)).await;
+    assert_eq!(deployment.gateway().call(&call("book", "b1")).await.status(), 503);
+}
+
 #[actix_rt::test]
 async fn instances_name_each_other() {
     let mut deployment = Deployment::start(3, 1).await;
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -137,3 +137,16 @@
     table.apply(ListNews::Removed("a".into()), Instant::now());
     assert!(table.is_empty());
 }
+
+/// An upstream leaves just after the store's return, without having said that it drains. It may only
+/// have lapsed, so it stays in use, but no longer than that lasts, whenever the next news comes.
+#[tokio::test(start_paused = true)]
+async fn doubt_about_an_entry_ends_by_itself() {
+    let mut table = table(&[("a", "near")]);
+    table.store_readable(false, Instant::now());
+    table.store_readable(true, Instant::now());
+    table.apply(ListNews::Removed("a".into()), Instant::now());
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+    advance(Duration::from_millis(2_400)).await;
+    assert_eq!(chosen(&table, &request(&[], None)), None);
+}
