Give each turn's index row a part of its own

Cause: while the store is slow 50- to 60-fold, a transaction over several parts holds each of them for 0.3 s, and parts take one transaction after another. All turns of all programs shared 256 index parts; some 30 transactions under way with some ten turns each met in them. Commits took 457 to 555 ms at the median where reads took 250, some 1.2 s, and parts refused others for having more than a second of work waiting (429). Ruled out: the programs' own parts (only parallel turns of one program meet there); the link's retries (a few hundred calls). Change: the part is the turn's name. Test, seen failing: turns_of_different_programs_share_no_part.

--- a/src/gateway/turns/rows.rs
+++ b/src/gateway/turns/rows.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 
 use bytes::{Bytes, BytesMut};
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::TurnKeeper;
 use crate::core::turns::{ProgramLedger, ProgramName, TurnId, TurnRecord, split_value};
@@ -13,8 +12,6 @@
 pub(crate) const TABLE: &str = "programs";
 /// Table that names the program of each turn.
 const INDEX_TABLE: &str = "turn-programs";
-/// Parts of the index: enough that none of them takes more than a few writes a second.
-const INDEX_PARTS: u64 = 256;
 /// Key of a program's ledger; it sorts before the turns.
 pub(crate) const LEDGER_KEY: &str = "ledger";
 /// Keys of turns: this, the turn's id, and the number of the piece.
@@ -26,9 +23,11 @@
     RowKey { table: TABLE.into(), part: program.clone(), key: key.into() }
 }
 
+/// The index row of a turn, in a part of its own: the store writes a part one transaction after
+/// another. With 256 parts for all turns, a store that had slowed down 50-fold made transactions
+/// wait for each other's index parts, and refused some for that.
 pub(crate) fn index_key(turn: &TurnId) -> RowKey {
-    let part = xxh3_64(turn.as_bytes()) % INDEX_PARTS;
-    RowKey { table: INDEX_TABLE.into(), part: format!("{part:02x}").into(), key: turn.clone() }
+    RowKey { table: INDEX_TABLE.into(), part: turn.clone(), key: turn.clone() }
 }
 
 pub(crate) fn parse_turn_key(key: &str) -> Option<(TurnId, usize)> {
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -269,6 +269,23 @@
     assert_eq!(spent, expected);
 }
 
+/// The store writes a part one transaction after another. Turns of different programs that end at
+/// once must not wait for each other, so no two of them may write to the same part.
+#[actix_rt::test]
+async fn turns_of_different_programs_share_no_part() {
+    const PROGRAMS: usize = 40;
+    let deployment = Deployment::start(1, 1).await;
+    let requests: Vec<String> = (0..PROGRAMS)
+        .map(|number| turn(&format!("t{number}"), &format!("p{number}"), None, "x"))
+        .collect();
+    let calls = requests.iter().map(|request| deployment.gateway().call(request));
+    let answers = futures_util::future::join_all(calls).await;
+    assert!(answers.iter().all(|answer| (answer.status(), answer.whole) == (200, true)));
+    for table in ["programs", "turn-programs"] {
+        assert_eq!(deployment.store.part_names(table).len(), PROGRAMS, "{table}");
+    }
+}
+
 /// Turns are kept for three seconds after they were last named. One program's turn is gone on from
 /// all the while, by another program; a second program is left alone. Only the second may go, with
 /// its index; the first must stay although nobody calls on its own behalf.
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in of the platform's store: rows, conditions, the feed, and its faults.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -105,6 +105,13 @@
         rows.filter_map(|(_, (_, value))| value.clone()).collect()
     }
 
+    /// Parts of a table that hold rows.
+    pub fn part_names(&self, table: &str) -> BTreeSet<String> {
+        let state = self.state.borrow();
+        let own = state.rows.keys().filter(|(name, _, _)| name == table);
+        own.map(|(_, part, _)| part.clone()).collect()
+    }
+
     fn write(&self, key: Key, value: Option<Vec<u8>>) {
         let mut state = self.state.borrow_mut();
         state.version += 1;
