Send reservations without records while the store is slow

Cause: a reservation took along whatever record waited. Change: while the usual answer takes over 80 ms, a batch that has reservations holds nothing else. Test, seen failing: reservations_travel_alone_while_the_store_is_slow; the stand-in of the store can be slow and tells its transactions.

--- a/src/gateway/committer.rs
+++ b/src/gateway/committer.rs
@@ -26,6 +26,8 @@
     transaction: RowTransaction,
     /// When it leaves at the latest.
     due: Instant,
+    /// Whether it was not to wait at all.
+    urgent: bool,
     reply: oneshot::Sender<CommitResult>,
 }
 
@@ -58,7 +60,12 @@
         }
         let (reply, answered) = oneshot::channel();
         let due = Instant::now() + patience;
-        self.queue.borrow_mut().push(QueuedCommit { transaction, due, reply });
+        self.queue.borrow_mut().push(QueuedCommit {
+            transaction,
+            due,
+            urgent: patience.is_zero(),
+            reply,
+        });
         self.queued.notify_one();
         // The batch's task never ends without an answer; if it is dropped, so is the process.
         answered.await.unwrap_or(Err(StoreError::ReplyLost))
@@ -101,6 +108,9 @@
         let mut queue = self.queue.borrow_mut();
         let mut keys: BTreeSet<RowKey> = BTreeSet::new();
         let (mut rows, mut bytes) = (0, 0);
+        // A transaction over several parts takes the store twice as long, and a caller waits for the
+        // urgent ones: while the store is slow 50-fold, that is 150 ms a turn.
+        let urgent_only = self.store.is_slow() && queue.iter().any(|queued| queued.urgent);
         let mut batch = Vec::new();
         let mut left = Vec::new();
         for queued in queue.drain(..) {
@@ -108,7 +118,8 @@
             let fits = rows + transaction.rows() <= MAX_ROWS
                 && bytes + transaction.bytes() <= MAX_BYTES
                 && transaction.keys().all(|key| !keys.contains(key));
-            if batch.is_empty() || fits {
+            let left_out = urgent_only && !queued.urgent;
+            if !left_out && (batch.is_empty() || fits) {
                 rows += transaction.rows();
                 bytes += transaction.bytes();
                 keys.extend(transaction.keys().cloned());
--- a/src/gateway/store.rs
+++ b/src/gateway/store.rs
@@ -28,6 +28,9 @@
 const CALL_LIMIT_MAX: Duration = Duration::from_millis(2_500);
 /// The limit as a multiple of the usual answer time.
 const LIMIT_FACTOR: f64 = 8.0;
+/// Usual answer time above which the store counts as slow: five times the longest that was seen on
+/// calm days.
+const SLOW_LATENCY: Duration = Duration::from_millis(80);
 /// Shortest and longest wait before the same call is also sent another way, and its multiple of the
 /// usual answer time. All writes have conditions, so the second of two changes nothing; a lost
 /// answer then costs some 100 ms instead of the whole limit.
@@ -208,6 +211,11 @@
         now.as_millis() as u64
     }
 
+    /// Whether the store answers far more slowly than it usually does.
+    pub(crate) fn is_slow(&self) -> bool {
+        self.health.borrow().latency > SLOW_LATENCY.as_secs_f64()
+    }
+
     /// Whether transactions may concern several parts.
     pub(crate) fn takes_across(&self) -> bool {
         self.across
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -286,6 +286,41 @@
     }
 }
 
+/// Turns begin and end all the while. As long as the store is quick, reservations travel with records
+/// that wait, which saves calls. When it has turned slow, a transaction over several parts takes twice
+/// as long as one over a single part, and a caller waits for the reservation: it must travel alone.
+#[actix_rt::test]
+async fn reservations_travel_alone_while_the_store_is_slow() {
+    const TURNS: usize = 30;
+    let deployment = Deployment::start(1, 1).await;
+    let run = async |round: &str| {
+        let calls = (0..TURNS).map(|number| {
+            let request =
+                turn(&format!("{round}{number}"), &format!("p{round}{number}"), None, "x");
+            let gateway = deployment.gateway();
+            async move {
+                tokio::time::sleep(Duration::from_millis(20) * number as u32).await;
+                gateway.call(&request).await
+            }
+        });
+        let answers = futures_util::future::join_all(calls).await;
+        assert!(answers.iter().all(|answer| (answer.status(), answer.whole) == (200, true)));
+    };
+    let mixed = |transactions: &[Vec<String>]| {
+        let has = |puts: &[String], prefix: &str| puts.iter().any(|key| key.starts_with(prefix));
+        transactions.iter().filter(|puts| has(puts, "ledger") && has(puts, "t/")).count()
+    };
+    run("quick").await;
+    let quick = deployment.store.transactions();
+    assert!(mixed(&quick) > 0, "they travel together");
+    deployment.store.set_fault(StoreFault::Slow(Duration::from_millis(120)));
+    // The usual answer time follows.
+    run("turning").await;
+    let before = deployment.store.transactions().len();
+    run("slow").await;
+    assert_eq!(mixed(&deployment.store.transactions()[before..]), 0);
+}
+
 /// Turns are kept for three seconds after they were last named. One program's turn is gone on from
 /// all the while, by another program; a second program is left alone. Only the second may go, with
 /// its index; the first must stay although nobody calls on its own behalf.
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -29,6 +29,8 @@
     LoseWrites(u32),
     /// The next so many writes take effect only after this time, and are not answered.
     LateWrites(u32, Duration),
+    /// All answers take this long.
+    Slow(Duration),
 }
 
 #[derive(Default)]
@@ -38,6 +40,8 @@
     /// Changes at or below this version are forgotten.
     forgotten: u64,
     fault: StoreFault,
+    /// Keys that each transaction put.
+    transactions: Vec<Vec<String>>,
 }
 
 /// The stand-in; clones share it.
@@ -105,6 +109,11 @@
         rows.filter_map(|(_, (_, value))| value.clone()).collect()
     }
 
+    /// Keys that each transaction put.
+    pub fn transactions(&self) -> Vec<Vec<String>> {
+        self.state.borrow().transactions.clone()
+    }
+
     /// Parts of a table that hold rows.
     pub fn part_names(&self, table: &str) -> BTreeSet<String> {
         let state = self.state.borrow();
@@ -125,6 +134,7 @@
         match fault {
             StoreFault::Busy => return vec![answer(503, "", b"")],
             StoreFault::Silent => return vec![Step::Hang],
+            StoreFault::Slow(pause) => sleep(pause).await,
             StoreFault::None | StoreFault::LoseWrites(_) | StoreFault::LateWrites(..) => {}
         }
         let path = request.target().split('?').next().unwrap_or_default().to_owned();
@@ -165,7 +175,9 @@
                 self.apply(&body);
                 None
             }
-            StoreFault::None | StoreFault::Busy | StoreFault::Silent => Some(self.apply(&body)),
+            StoreFault::None | StoreFault::Busy | StoreFault::Silent | StoreFault::Slow(_) => {
+                Some(self.apply(&body))
+            }
         }
     }
 
@@ -190,6 +202,8 @@
             return (412, json!({ "rows": rows }));
         }
         let mut state = self.state.borrow_mut();
+        let puts = list("puts").iter().map(|row| key_of(row).2).collect();
+        state.transactions.push(puts);
         state.version += 1;
         let version = state.version;
         for row in list("puts") {
