Split the store's client by job; fill a turn's call in place

Cause: the client of the store had grown to 460 lines with three jobs (ways and races, what is known of them, relaying for peers); a turn's call was copied field by field to give it another body. Change: health and relay have their own modules; the call gets its chain in place.

--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -33,7 +33,7 @@
     pub(crate) target: Box<str>,
     /// The caller's headers without those of its connection.
     pub(crate) headers: HeaderMap,
-    /// What the upstream is sent.
+    /// What the upstream is sent; a turn's chain comes before its input once it has been read.
     pub(crate) body: Bytes,
     pub(crate) route: Rc<RouteSpec>,
     pub(crate) service: ServiceName,
@@ -73,7 +73,7 @@
         writer: &mut CallerWriter,
     ) -> bool {
         let method = request.method.clone();
-        let (call, turn) = match self.prepare(request, arrived, reader, writer).await {
+        let (mut call, turn) = match self.prepare(request, arrived, reader, writer).await {
             Ok(prepared) => prepared,
             Err((id, refusal)) => {
                 return self.refuse_unrouted(&id, &method, &refusal, arrived, writer).await;
@@ -83,7 +83,7 @@
         let end = tokio::select! {
             biased;
             () = reader.closed() => CallEnd::cut("caller_left", None),
-            end = self.run_call(&call, turn, &log, writer) => end,
+            end = self.run_call(&mut call, turn, &log, writer) => end,
         };
         self.note_end(&call, &end, &log);
         end.keep
@@ -152,7 +152,7 @@
     /// Runs a prepared call and writes its answer.
     async fn run_call(
         self: &Rc<Self>,
-        call: &CallContext,
+        call: &mut CallContext,
         is_turn: bool,
         log: &AttemptLog,
         writer: &mut CallerWriter,
@@ -161,7 +161,7 @@
             return self.send_on(call, None, log, writer).await;
         }
         match timeout_at(call.deadline, self.prepare_turn(call)).await {
-            Ok(Ok((turn, prepared))) => self.send_on(&prepared, Some(turn), log, writer).await,
+            Ok(Ok(turn)) => self.send_on(call, Some(turn), log, writer).await,
             Ok(Err(refusal)) => self.end_refused(&refusal, writer).await,
             Err(_) => {
                 let refusal = Refusal::not_run("store_slow", DEADLINE_RETRY);
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -38,26 +38,22 @@
 }
 
 impl Gateway {
-    /// Reads the chain and sets the turn's tokens aside.
+    /// Reads the chain, sets the turn's tokens aside, and puts the chain before the call's input.
     pub(super) async fn prepare_turn(
         self: &Rc<Self>,
-        call: &CallContext,
-    ) -> Result<(TurnWork, CallContext), Refusal> {
+        call: &mut CallContext,
+    ) -> Result<TurnWork, Refusal> {
         let bad = |reason| Refusal::rejected(StatusCode::BAD_REQUEST, reason);
         let program = call.head.program.clone().ok_or_else(|| bad("no_program"))?;
         if call.id.len() > MAX_NAME_BYTES || program.len() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
         let (chain, reservation) = self.claim_turn(call, &program).await?;
-        let holder = chain.turns.last().map(|turn| turn.upstream.clone());
-        let body = chain_body(&chain.turns, &call.body);
-        let turn = TurnWork {
-            previous: call.head.previous.clone(),
-            origin: chain.origin,
-            input: call.body.clone(),
-            reservation,
-        };
-        Ok((turn, call.with_chain(body, holder)))
+        let input = call.body.clone();
+        call.holder = chain.turns.last().map(|turn| turn.upstream.clone());
+        call.body = chain_body(&chain.turns, &input);
+        let previous = call.head.previous.clone();
+        Ok(TurnWork { previous, origin: chain.origin, input, reservation })
     }
 
     /// Reads what a turn continues from and sets its tokens aside, anew if it has expired since it
@@ -154,24 +150,3 @@
         }
     }
 }
-
-impl CallContext {
-    /// The same call with what comes before its input.
-    fn with_chain(&self, body: Bytes, holder: Option<UpstreamId>) -> Self {
-        Self {
-            id: self.id.clone(),
-            head: self.head.clone(),
-            method: self.method.clone(),
-            target: self.target.clone(),
-            headers: self.headers.clone(),
-            body,
-            route: self.route.clone(),
-            service: self.service.clone(),
-            arrived: self.arrived,
-            deadline: self.deadline,
-            priority: self.priority,
-            holder,
-            event_tokens: self.event_tokens,
-        }
-    }
-}
--- /dev/null
+++ b/src/gateway/store/health.rs
@@ -0,0 +1,132 @@
+//! What is known of the ways to the store, from the answers of real calls.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::node::platform::StoreError;
+
+/// Shortest and longest wait for an answer of the store beyond what it holds a call on purpose. It
+/// answers within 4 to 10 ms, and within some 700 where it is slowed 60-fold.
+const CALL_LIMIT_MIN: Duration = Duration::from_millis(1_200);
+const CALL_LIMIT_MAX: Duration = Duration::from_millis(2_500);
+/// The limit as a multiple of the usual answer time.
+const LIMIT_FACTOR: f64 = 8.0;
+/// Usual answer time above which the store counts as slow: calm days' median is some 14 ms, that of a
+/// store slowed 50-fold 250 ms or more (measured).
+const SLOW_LATENCY: Duration = Duration::from_millis(80);
+/// Shortest and longest wait before the same call is also sent another way, and its multiple of the
+/// usual answer time. All writes have conditions, so the second of two changes nothing; a lost
+/// answer then costs some 100 ms instead of the whole limit.
+const HEDGE_DELAY_MIN: Duration = Duration::from_millis(100);
+const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
+const HEDGE_FACTOR: f64 = 4.0;
+/// Share of the newest answer time in the usual one: about the last four count.
+const LATENCY_SHARE: f64 = 0.25;
+/// While the direct way fails, one call takes it again this often.
+const DIRECT_RETRY: Duration = Duration::from_millis(500);
+
+/// What is known of the ways to the store.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct StoreHealth {
+    /// The usual answer time, in seconds.
+    latency: f64,
+    /// Since when no way has worked.
+    lost: Option<Instant>,
+    /// When a call failed on the direct way, unless one has succeeded since.
+    direct_failed: Option<Instant>,
+    direct_answered: Option<Instant>,
+    /// When any way last brought an answer.
+    answered: Option<Instant>,
+}
+
+impl StoreHealth {
+    fn scaled(&self, factor: f64, least: Duration, most: Duration) -> Duration {
+        Duration::from_secs_f64(self.latency * factor).clamp(least, most)
+    }
+
+    /// How long a call may take beyond what the store holds it on purpose.
+    pub(super) fn limit(&self) -> Duration {
+        self.scaled(LIMIT_FACTOR, CALL_LIMIT_MIN, CALL_LIMIT_MAX)
+    }
+
+    /// How long a call waits on one way before it also takes the next.
+    pub(super) fn hedge_delay(&self) -> Duration {
+        self.scaled(HEDGE_FACTOR, HEDGE_DELAY_MIN, HEDGE_DELAY_MAX)
+    }
+
+    /// Whether the store answers far more slowly than it usually does.
+    pub(super) fn is_slow(&self) -> bool {
+        self.latency > SLOW_LATENCY.as_secs_f64()
+    }
+
+    /// Since when no way has worked.
+    pub(super) fn lost(&self) -> Option<Instant> {
+        self.lost
+    }
+
+    /// Whether the last direct call failed.
+    pub(super) fn is_direct_lost(&self) -> bool {
+        self.direct_failed.is_some()
+    }
+
+    /// Whether a call should take the direct way first. While that fails, one call in a while does;
+    /// the others keep to their peers until it has found out.
+    pub(super) fn tries_direct(&mut self) -> bool {
+        match self.direct_failed {
+            Some(at) if at.elapsed() < DIRECT_RETRY => false,
+            Some(_) => {
+                self.direct_failed = Some(Instant::now());
+                true
+            }
+            None => true,
+        }
+    }
+
+    /// A way other than the direct one brought an answer.
+    pub(super) fn answered(&mut self) {
+        self.answered = Some(Instant::now());
+    }
+
+    /// The direct way brought an answer to a call that began then. A held call's time tells only how
+    /// long nothing changed.
+    pub(super) fn direct_answered(&mut self, begun: Instant, held: bool) {
+        self.answered();
+        self.direct_answered = Some(Instant::now());
+        if !held {
+            let seconds = begun.elapsed().as_secs_f64();
+            self.latency += LATENCY_SHARE * (seconds - self.latency);
+        }
+        if self.direct_failed.take().is_some() {
+            log::info!("event=dependency_regained dependency=store way=direct");
+        }
+    }
+
+    /// A direct call that began then failed. If another one was answered meanwhile, it was this one's
+    /// bad luck: taken for an outage, each lost answer would send all calls the long way for a while.
+    pub(super) fn direct_failed(&mut self, begun: Instant, error: &StoreError) {
+        let answered = self.direct_answered.is_some_and(|at| at >= begun);
+        if answered || self.direct_failed.is_some() {
+            return;
+        }
+        self.direct_failed = Some(Instant::now());
+        log::warn!("event=dependency_lost dependency=store way=direct error=\"{error}\"");
+    }
+
+    /// No way brought an answer to a call that began then; true if the store counts as away from now
+    /// on.
+    pub(super) fn failed(&mut self, begun: Instant) -> bool {
+        let answered = self.answered.is_some_and(|at| at >= begun);
+        if answered || self.lost.is_some() {
+            return false;
+        }
+        self.lost = Some(Instant::now());
+        log::warn!("event=dependency_lost dependency=store way=any");
+        true
+    }
+
+    /// The store was found again; since when it had been away.
+    pub(super) fn returned(&mut self) -> Option<Instant> {
+        self.lost.take()
+    }
+}
--- a/src/gateway/store.rs
+++ b/src/gateway/store/mod.rs
@@ -1,106 +1,43 @@
 //! The one way to the platform's store: directly, or by a peer where this instance is cut off.
 
+mod health;
+mod relay;
+
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use self::health::StoreHealth;
+use self::relay::{RelayReply, RelayRequest, read_relay};
 use super::dialect::GatewayDialect;
 use super::http::{ConnectionPool, ExchangeError};
 use super::metrics::StoreMeter;
 use super::rows::{
     ChangesReply, CommitReply, RangeReply, RowRange, RowTransaction, RowVersion, StoreCall,
-    StoreCallKind,
 };
 use crate::node::platform::StoreError;
 
-/// Shortest and longest wait for an answer of the store beyond what it holds a call on purpose. It
-/// answers within 4 to 10 ms, and within some 700 where it is slowed 60-fold.
-const CALL_LIMIT_MIN: Duration = Duration::from_millis(1_200);
-const CALL_LIMIT_MAX: Duration = Duration::from_millis(2_500);
-/// The limit as a multiple of the usual answer time.
-const LIMIT_FACTOR: f64 = 8.0;
-/// Usual answer time above which the store counts as slow: five times the longest that was seen on
-/// calm days.
-const SLOW_LATENCY: Duration = Duration::from_millis(80);
-/// Shortest and longest wait before the same call is also sent another way, and its multiple of the
-/// usual answer time. All writes have conditions, so the second of two changes nothing; a lost
-/// answer then costs some 100 ms instead of the whole limit.
-const HEDGE_DELAY_MIN: Duration = Duration::from_millis(100);
-const HEDGE_DELAY_MAX: Duration = Duration::from_millis(600);
-const HEDGE_FACTOR: f64 = 4.0;
-/// Factor between one such wait and the next: a store that has turned slow must not get each call
-/// four times.
+pub(crate) use self::relay::{RELAY_PATH, RelayError};
+
+/// Factor between the wait before a call takes its second way and that before the third: a store that
+/// has turned slow must not get each call four times.
 const HEDGE_BACKOFF: u32 = 3;
-/// Share of the newest answer time in the usual one: about the last four count.
-const LATENCY_SHARE: f64 = 0.25;
 /// Peers asked for one call: with a third of the instances cut off, two find the way in 8 of 9.
 const RELAY_TRIES: usize = 2;
-/// While the direct way fails, one call takes it again this often.
-const DIRECT_RETRY: Duration = Duration::from_millis(500);
 /// While no way works, one call looks this often whether the store is back.
 const PROBE_PACE: Duration = Duration::from_millis(250);
 
-/// Path of the relay on the address for peers.
-pub(crate) const RELAY_PATH: &str = "/store";
-
-/// A store call that a peer makes for another instance.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct RelayRequest {
-    method: Box<str>,
-    target: Box<str>,
-    body: Box<str>,
-    hold_ms: u64,
-}
-
-/// What the store answered the peer.
-#[derive(Debug, Serialize, Deserialize)]
-pub(crate) struct RelayReply {
-    status: u16,
-    body: Box<str>,
-}
-
 /// Addresses of peers that may relay, in the order in which to ask them.
 pub(crate) trait RelayPeers {
     fn relay_addresses(&self) -> Vec<Box<str>>;
 }
 
-/// What is known of the ways to the store.
-#[derive(Debug, Clone, Copy, Default)]
-struct StoreHealth {
-    /// The usual answer time, in seconds.
-    latency: f64,
-    /// Since when no way has worked.
-    lost: Option<Instant>,
-    /// When a call failed on the direct way, unless one has succeeded since.
-    direct_failed: Option<Instant>,
-    direct_answered: Option<Instant>,
-    /// When any way last brought an answer.
-    answered: Option<Instant>,
-}
-
-impl StoreHealth {
-    fn scaled(&self, factor: f64, least: Duration, most: Duration) -> Duration {
-        Duration::from_secs_f64(self.latency * factor).clamp(least, most)
-    }
-
-    fn limit(&self) -> Duration {
-        self.scaled(LIMIT_FACTOR, CALL_LIMIT_MIN, CALL_LIMIT_MAX)
-    }
-
-    fn hedge_delay(&self) -> Duration {
-        self.scaled(HEDGE_FACTOR, HEDGE_DELAY_MIN, HEDGE_DELAY_MAX)
-    }
-}
-
 /// A way to the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 enum StoreWay {
@@ -156,7 +93,7 @@
 
     /// How long no way to the store has worked; none while one does.
     pub(crate) fn outage(&self) -> Option<Duration> {
-        self.health.borrow().lost.map(|since| since.elapsed())
+        self.health.borrow().lost().map(|since| since.elapsed())
     }
 
     /// Ends when the store is reachable, at once if it is.
@@ -213,7 +150,7 @@
 
     /// Whether the store answers far more slowly than it usually does.
     pub(crate) fn is_slow(&self) -> bool {
-        self.health.borrow().latency > SLOW_LATENCY.as_secs_f64()
+        self.health.borrow().is_slow()
     }
 
     /// Whether transactions may concern several parts.
@@ -239,7 +176,10 @@
         let begun = Instant::now();
         let result = self.race(call).await;
         if matches!(result, Err(StoreError::Unavailable | StoreError::ReplyLost)) {
-            self.note_failed(begun);
+            // From now on calls fail at once, until a probe finds the store.
+            if self.health.borrow_mut().failed(begun) {
+                self.changed.notify_waiters();
+            }
         }
         result
     }
@@ -284,14 +224,9 @@
     fn ways(&self) -> Vec<StoreWay> {
         let peers = self.peers.borrow().as_ref().map(|peers| peers.relay_addresses());
         let peers = peers.unwrap_or_default().into_iter().take(RELAY_TRIES).map(StoreWay::Peer);
-        let mut health = self.health.borrow_mut();
-        if health.direct_failed.is_some_and(|at| at.elapsed() < DIRECT_RETRY) {
+        if !self.health.borrow_mut().tries_direct() {
             return peers.chain([StoreWay::Direct { fresh: true }]).collect();
         }
-        if health.direct_failed.is_some() {
-            // The others keep to their peers until this call has found out.
-            health.direct_failed = Some(Instant::now());
-        }
         let direct = [StoreWay::Direct { fresh: false }, StoreWay::Direct { fresh: true }];
         direct.into_iter().chain(peers).collect()
     }
@@ -305,8 +240,11 @@
             StoreWay::Peer(peer) => self.send_by_peer(peer, call, limit).await,
         };
         match &answer {
-            Ok(_) => self.note_answer(is_direct, begun, call),
-            Err(error) if is_direct => self.note_direct_failed(begun, error),
+            Ok(_) if is_direct => {
+                self.health.borrow_mut().direct_answered(begun, !call.hold.is_zero());
+            }
+            Ok(_) => self.health.borrow_mut().answered(),
+            Err(error) if is_direct => self.health.borrow_mut().direct_failed(begun, error),
             Err(_) => {}
         }
         answer
@@ -334,13 +272,7 @@
     }
 
     async fn send_by_peer(&self, peer: &str, call: &StoreCall, limit: Duration) -> StoreAnswer {
-        let request = RelayRequest {
-            method: call.method.as_str().into(),
-            target: call.target.clone(),
-            body: STANDARD.encode(&call.body).into(),
-            hold_ms: call.hold.as_millis() as u64,
-        };
-        let body = serde_json::to_vec(&request).expect("relays serialize").into();
+        let body = RelayRequest::new(call).encode();
         let sent = self.pool.exchange(peer, Method::POST, RELAY_PATH, body, limit).await;
         match sent {
             Ok((status, answer)) if status.is_success() => read_relay(&answer),
@@ -351,47 +283,6 @@
         }
     }
 
-    fn note_answer(&self, is_direct: bool, begun: Instant, call: &StoreCall) {
-        let mut health = self.health.borrow_mut();
-        health.answered = Some(Instant::now());
-        if !is_direct {
-            return;
-        }
-        health.direct_answered = Some(Instant::now());
-        // A held call's time tells how long nothing changed.
-        if call.hold.is_zero() {
-            let seconds = begun.elapsed().as_secs_f64();
-            health.latency += LATENCY_SHARE * (seconds - health.latency);
-        }
-        if health.direct_failed.take().is_some() {
-            log::info!("event=dependency_regained dependency=store way=direct");
-        }
-    }
-
-    /// A direct call failed. If another one was answered meanwhile, it was this one's bad luck: taken
-    /// for an outage, each lost answer would send all calls the long way for a while.
-    fn note_direct_failed(&self, begun: Instant, error: &StoreError) {
-        let mut health = self.health.borrow_mut();
-        let answered = health.direct_answered.is_some_and(|at| at >= begun);
-        if answered || health.direct_failed.is_some() {
-            return;
-        }
-        health.direct_failed = Some(Instant::now());
-        log::warn!("event=dependency_lost dependency=store way=direct error=\"{error}\"");
-    }
-
-    /// No way brought an answer. From now on calls fail at once, until a probe finds the store.
-    fn note_failed(&self, begun: Instant) {
-        let mut health = self.health.borrow_mut();
-        let answered = health.answered.is_some_and(|at| at >= begun);
-        if answered || health.lost.is_some() {
-            return;
-        }
-        health.lost = Some(Instant::now());
-        self.changed.notify_waiters();
-        log::warn!("event=dependency_lost dependency=store way=any");
-    }
-
     /// Looks for the store while it is away. Probes overlap: one that hangs must not keep the next
     /// from finding that the store is back.
     pub(crate) async fn watch(self: Rc<Self>) {
@@ -409,7 +300,7 @@
         if self.race(&call).await.is_err() {
             return;
         }
-        let lost = self.health.borrow_mut().lost.take();
+        let lost = self.health.borrow_mut().returned();
         if let Some(since) = lost {
             let outage_ms = since.elapsed().as_millis();
             log::info!("event=dependency_regained dependency=store way=any outage_ms={outage_ms}");
@@ -419,16 +310,8 @@
 
     /// Makes a call for a peer; none if the store did not answer it.
     pub(crate) async fn serve_relay(&self, request: &[u8]) -> Result<Bytes, RelayError> {
-        let request: RelayRequest =
-            serde_json::from_slice(request).map_err(|_| RelayError::Malformed)?;
-        let call = StoreCall {
-            kind: StoreCallKind::Relayed,
-            method: request.method.parse().map_err(|_| RelayError::Malformed)?,
-            target: request.target,
-            body: STANDARD.decode(&*request.body).map_err(|_| RelayError::Malformed)?.into(),
-            hold: Duration::from_millis(request.hold_ms),
-        };
-        if self.health.borrow().direct_failed.is_some() {
+        let call = RelayRequest::parse(request)?;
+        if self.health.borrow().is_direct_lost() {
             return Err(RelayError::CutOff);
         }
         let limit = Instant::now() + call.hold + self.health.borrow().limit();
@@ -437,21 +320,10 @@
             StoreError::Unavailable => RelayError::CutOff,
             StoreError::ReplyLost | StoreError::Malformed { .. } => RelayError::NoAnswer,
         })?;
-        let reply = RelayReply { status, body: STANDARD.encode(&body).into() };
-        Ok(serde_json::to_vec(&reply).expect("replies serialize").into())
+        Ok(RelayReply::new(status, &body).encode())
     }
 }
 
-/// Why a peer's call was not relayed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum RelayError {
-    Malformed,
-    /// Nothing was sent: this instance does not reach the store either.
-    CutOff,
-    /// The call may have taken effect.
-    NoAnswer,
-}
-
 /// How a call ended, as the metrics name it.
 fn call_outcome(answer: &Result<(StatusCode, Bytes), ExchangeError>) -> &'static str {
     match answer {
@@ -464,11 +336,3 @@
         Err(_) => "lost",
     }
 }
-
-fn read_relay(answer: &[u8]) -> Result<(u16, Bytes), StoreError> {
-    let malformed =
-        |message: &dyn ToString| StoreError::Malformed { message: message.to_string().into() };
-    let reply: RelayReply = serde_json::from_slice(answer).map_err(|error| malformed(&error))?;
-    let body = STANDARD.decode(&*reply.body).map_err(|error| malformed(&error))?;
-    Ok((reply.status, body.into()))
-}
