Take a write refused for its part's rate for what it is, not for an outage

Cause: a part with more than a second of writes waiting answers 429. Ruled out: the store turning the instance away, which also says 429; then it answers none of its calls, so the same belief follows within a second. Change: a 429 counts as no loss while the store has answered anything directly within the last second; a reservation refused so is tried again after 250 ms, four times at most. Test, seen failing: a_part_over_its_rate_is_no_outage; the stand-in of the store learns to refuse writes so.

--- a/src/gateway/store/health.rs
+++ b/src/gateway/store/health.rs
@@ -23,6 +23,10 @@
 const HEDGE_FACTOR: f64 = 4.0;
 /// Share of the newest answer time in the usual one: about the last four count.
 const LATENCY_SHARE: f64 = 0.25;
+/// A part refuses writes when more than a second of them waits (429). If the store has answered others
+/// within that time, it is there: taken for an outage, one busy part sent every call of an instance
+/// the long way or refused all its turns for a quarter of a second.
+const OVER_RATE_DOUBT: Duration = Duration::from_secs(1);
 /// While the direct way fails, one call takes it again this often.
 const DIRECT_RETRY: Duration = Duration::from_millis(500);
 
@@ -38,6 +42,8 @@
     direct_answered: Option<Instant>,
     /// When any way last brought an answer.
     answered: Option<Instant>,
+    /// When a call was last refused for its rate.
+    over_rate: Option<Instant>,
 }
 
 impl StoreHealth {
@@ -113,11 +119,26 @@
         log::warn!("event=dependency_lost dependency=store way=direct error=\"{error}\"");
     }
 
+    /// A direct call that began then was refused for its rate. A store that turns an instance away may
+    /// say so too, but then it answers none of its calls.
+    pub(super) fn refused_for_rate(&mut self, begun: Instant) {
+        self.over_rate = Some(Instant::now());
+        if !self.is_over_rate() {
+            self.direct_failed(begun, &StoreError::Unavailable);
+        }
+    }
+
+    /// Whether only some writes are refused, for their rate.
+    pub(super) fn is_over_rate(&self) -> bool {
+        let lately = |at: Option<Instant>| at.is_some_and(|at| at.elapsed() < OVER_RATE_DOUBT);
+        lately(self.over_rate) && lately(self.direct_answered)
+    }
+
     /// No way brought an answer to a call that began then; true if the store counts as away from now
     /// on.
     pub(super) fn failed(&mut self, begun: Instant) -> bool {
         let answered = self.answered.is_some_and(|at| at >= begun);
-        if answered || self.lost.is_some() {
+        if answered || self.lost.is_some() || self.is_over_rate() {
             return false;
         }
         self.lost = Some(Instant::now());
--- a/src/gateway/store/mod.rs
+++ b/src/gateway/store/mod.rs
@@ -153,6 +153,11 @@
         self.health.borrow().is_slow()
     }
 
+    /// Whether the store refuses only some writes, for their rate.
+    pub(crate) fn is_over_rate(&self) -> bool {
+        self.health.borrow().is_over_rate()
+    }
+
     /// Whether transactions may concern several parts.
     pub(crate) fn takes_across(&self) -> bool {
         self.across
@@ -244,7 +249,7 @@
                 self.health.borrow_mut().direct_answered(begun, !call.hold.is_zero());
             }
             Ok(_) => self.health.borrow_mut().answered(),
-            Err(error) if is_direct => self.health.borrow_mut().direct_failed(begun, error),
+            // Its failures are judged where their cause is known.
             Err(_) => {}
         }
         answer
@@ -259,16 +264,22 @@
         let begun = Instant::now();
         let answer = self.pool.exchange(&self.address, method, &call.target, body, limit).await;
         self.meter.call_ended(call.kind, call_outcome(&answer), begun.elapsed());
-        match answer {
+        let error = match answer {
+            Ok((StatusCode::TOO_MANY_REQUESTS, _)) => {
+                self.health.borrow_mut().refused_for_rate(begun);
+                return Err(StoreError::Unavailable);
+            }
             // Refused, with nothing done: another instance may be served all the same.
-            Ok((status, _)) if matches!(status.as_u16(), 429 | 503) => Err(StoreError::Unavailable),
-            Ok((status, body)) => Ok((status.as_u16(), body)),
-            Err(ExchangeError::NotSent(_)) => Err(StoreError::Unavailable),
+            Ok((StatusCode::SERVICE_UNAVAILABLE, _)) => StoreError::Unavailable,
+            Ok((status, body)) => return Ok((status.as_u16(), body)),
+            Err(ExchangeError::NotSent(_)) => StoreError::Unavailable,
             Err(error) => {
                 log::debug!("event=store_call_failed target={} error=\"{error}\"", call.target);
-                Err(StoreError::ReplyLost)
+                StoreError::ReplyLost
             }
-        }
+        };
+        self.health.borrow_mut().direct_failed(begun, &error);
+        Err(error)
     }
 
     async fn send_by_peer(&self, peer: &str, call: &StoreCall, limit: Duration) -> StoreAnswer {
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -28,6 +28,11 @@
 const SETTLE_PATIENCE: Duration = Duration::from_millis(50);
 /// Pause before a write is tried again: the store's answer takes some 4 ms.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
+/// Pause after a write that was refused for its part's rate: more than a second of others waits there,
+/// and a caller waits for this one.
+const OVER_RATE_PAUSE: Duration = Duration::from_millis(250);
+/// Such pauses of one reservation: as long as what waits there takes.
+const OVER_RATE_TRIES: u32 = 4;
 /// How long a settlement that nobody waits for is tried.
 const BACKGROUND_LIMIT: Duration = Duration::from_secs(10);
 /// Longest key of the store is 200 bytes; the prefix and the piece's number need some.
@@ -152,6 +157,7 @@
         limit: Instant,
     ) -> Result<TurnReservation, ReserveError> {
         let mut fresh = false;
+        let mut refused_for_rate = 0;
         // Set once a write may take effect without having been seen to.
         let mut doubtful = false;
         let mut held = self.reservation(program, turn);
@@ -190,6 +196,12 @@
                     }
                     fresh = true;
                 }
+                Err(StoreError::Unavailable)
+                    if self.store.is_over_rate() && refused_for_rate < OVER_RATE_TRIES =>
+                {
+                    refused_for_rate += 1;
+                    sleep(OVER_RATE_PAUSE).await;
+                }
                 Err(StoreError::Unavailable) => {
                     held.settled = !doubtful;
                     return Err(ReserveError::Store(StoreError::Unavailable));
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -321,6 +321,25 @@
     assert_eq!(mixed(&deployment.store.transactions()[before..]), 0);
 }
 
+/// A part of the store has more than a second of writes waiting and refuses one, by every way. The
+/// store is not away: the turn waits a little and runs, and turns of other programs notice nothing.
+#[actix_rt::test]
+async fn a_part_over_its_rate_is_no_outage() {
+    let deployment = Deployment::start(1, 1).await;
+    let gateway = deployment.gateway();
+    assert_eq!(gateway.call(&turn("t1", "p", None, "x")).await.status(), 200);
+    // Two direct ways: kept and new connection.
+    deployment.store.set_fault(StoreFault::OverRate(2));
+    let refused = turn("t2", "p", Some("t1"), "x");
+    let (first, second) = futures_util::join!(gateway.call(&refused), async {
+        wait_until("the write is refused", async || deployment.store.fault() == StoreFault::None)
+            .await;
+        gateway.call(&turn("t3", "q", None, "x")).await
+    });
+    assert_eq!((first.status(), first.whole), (200, true));
+    assert_eq!((second.status(), second.whole), (200, true));
+}
+
 /// Turns are kept for three seconds after they were last named. One program's turn is gone on from
 /// all the while, by another program; a second program is left alone. Only the second may go, with
 /// its index; the first must stay although nobody calls on its own behalf.
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -31,6 +31,8 @@
     LateWrites(u32, Duration),
     /// All answers take this long.
     Slow(Duration),
+    /// 429 to this many writes: a part has too many of them waiting.
+    OverRate(u32),
 }
 
 #[derive(Default)]
@@ -135,7 +137,15 @@
             StoreFault::Busy => return vec![answer(503, "", b"")],
             StoreFault::Silent => return vec![Step::Hang],
             StoreFault::Slow(pause) => sleep(pause).await,
-            StoreFault::None | StoreFault::LoseWrites(_) | StoreFault::LateWrites(..) => {}
+            StoreFault::OverRate(left) if request.target().starts_with("/rows-tx") => {
+                let next = if left > 1 { StoreFault::OverRate(left - 1) } else { StoreFault::None };
+                self.set_fault(next);
+                return vec![answer(429, "", b"")];
+            }
+            StoreFault::None
+            | StoreFault::LoseWrites(_)
+            | StoreFault::LateWrites(..)
+            | StoreFault::OverRate(_) => {}
         }
         let path = request.target().split('?').next().unwrap_or_default().to_owned();
         let (status, body) = match path.as_str() {
@@ -175,9 +185,7 @@
                 self.apply(&body);
                 None
             }
-            StoreFault::None | StoreFault::Busy | StoreFault::Silent | StoreFault::Slow(_) => {
-                Some(self.apply(&body))
-            }
+            _ => Some(self.apply(&body)),
         }
     }
 
