End a program only after reading the records of its turns

Cause: since turns settle by their record, a ledger shows what has ended as still open, with the most it might have used. After a conflict about the ledger the refusal of a spent budget counted as sure, though only the ledger had been read: a parallel turn on another instance could be told 402 while the budget held it. Found by reading the diff. Ruled out: overspending (open turns count with their most, never less). Change: after a conflict the program is read whole before it is refused. Test, seen failing: a_ledger_alone_ends_no_program.

--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -156,6 +156,7 @@
         claim: TurnClaim,
         limit: Instant,
     ) -> Result<TurnReservation, ReserveError> {
+        // Whether all that the store has of the program was read since its ledger last changed.
         let mut fresh = false;
         let mut refused_for_rate = 0;
         // Set once a write may take effect without having been seen to.
@@ -170,7 +171,7 @@
                 if fresh || lasting {
                     return Err(ReserveError::Exhausted { committed });
                 }
-                // Other instances may have given tokens back since this ledger was seen.
+                // Turns of other instances may have ended since this ledger was seen.
                 self.load(program).await.map_err(ReserveError::Store)?;
                 fresh = true;
                 continue;
@@ -194,7 +195,9 @@
                     if expired {
                         return Err(ReserveError::Expired);
                     }
-                    fresh = true;
+                    // The ledger is new, the records that settle its open turns may not be known:
+                    // taken for all, a program is told that its budget is spent when it is not.
+                    fresh = false;
                 }
                 Err(StoreError::Unavailable)
                     if self.store.is_over_rate() && refused_for_rate < OVER_RATE_TRIES =>
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -321,6 +321,21 @@
     assert_eq!(mixed(&deployment.store.transactions()[before..]), 0);
 }
 
+/// A turn that may make 20 tokens makes 6. Another instance, which knows nothing of the program, is
+/// asked for a parallel turn: its write meets the ledger, in which the first turn still stands with 20.
+/// Its record says otherwise, so the budget holds the second, and it must not be refused for good.
+#[actix_rt::test]
+async fn a_ledger_alone_ends_no_program() {
+    let deployment = Deployment::start(2, 1).await;
+    let most_20 = |id: &str| {
+        budgeted_turn(id, "p", None, "x", 30).replace("Token-Usage: 10,6", "Token-Usage: 10,20")
+    };
+    assert_eq!(deployment.gateways[0].call(&most_20("t1")).await.status(), 200);
+    assert_eq!(deployment.gateways[1].call(&most_20("t2")).await.status(), 200);
+    // 6 and 6 are spent, 20 more would be 32.
+    assert_eq!(deployment.gateways[0].call(&most_20("t3")).await.status(), 402);
+}
+
 /// A part of the store has more than a second of writes waiting and refuses one, by every way. The
 /// store is not away: the turn waits a little and runs, and turns of other programs notice nothing.
 #[actix_rt::test]
