Read on what is too large before refusing it

The instance answers 413 as soon as it has seen too much and closes; what is still on its way then resets the connection, and the caller may never see the answer. Whether it does was a matter of scheduling. Ruled out: a slip of the test; the caller's view is what the interface promises. Change: up to 16 MB more are read for at most 5 s, then the refusal is sent. Test, seen failing every time: a_caller_that_is_still_sending_gets_its_refusal (six pieces with pauses).

--- a/src/util/http_server.rs
+++ b/src/util/http_server.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody};
-use actix_http::{HttpMessage, HttpService, Method, Request, Response, StatusCode};
+use actix_http::{HttpMessage, HttpService, Method, Payload, Request, Response, StatusCode};
 use actix_service::{Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{Stream, StreamExt};
 use serde::Serialize;
 use tokio::net::TcpListener;
+use tokio::time::timeout;
 
 /// A request with its whole body.
 #[derive(Debug)]
@@ -39,6 +40,10 @@
 /// Header that keeps a request from being carried on a second time.
 pub(crate) const FORWARDED_HEADER: &str = "x-merlinsaddle-forwarded";
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Most that is read of a body after it was found too large, in bytes, and the longest time for that:
+/// four times the largest body anywhere, at the pace of a slow line.
+const MAX_DISCARDED: usize = 16 * 1024 * 1024;
+const DISCARD_TIME: Duration = Duration::from_secs(5);
 
 /// Wraps an async function as a handler.
 pub(crate) fn handler<F, R>(handle: F) -> HttpHandler
@@ -76,12 +81,25 @@
     }
 }
 
+/// Reads on what is not wanted, so that the caller gets its answer: closed while it still sends, the
+/// connection is reset, and the caller never sees why it was refused.
+async fn discard(payload: &mut Payload) {
+    let mut left = MAX_DISCARDED;
+    while let Some(Ok(chunk)) = payload.next().await {
+        match left.checked_sub(chunk.len()) {
+            Some(rest) => left = rest,
+            None => return,
+        }
+    }
+}
+
 async fn answer(mut request: Request, max_body: usize, handler: HttpHandler) -> HttpResponse {
     let mut body = BytesMut::new();
     let mut payload = request.take_payload();
     while let Some(chunk) = payload.next().await {
         let Ok(chunk) = chunk else { return text_response(StatusCode::BAD_REQUEST, "broken body") };
         if body.len() + chunk.len() > max_body {
+            let _ = timeout(DISCARD_TIME, discard(&mut payload)).await;
             let message = format!("the body is larger than {max_body} bytes");
             return text_response(StatusCode::PAYLOAD_TOO_LARGE, &message);
         }
--- a/tests/callers.rs
+++ b/tests/callers.rs
@@ -45,6 +45,29 @@
     Answer { status: status.parse().expect("it is a number"), head: head.into(), body: body.into() }
 }
 
+/// A caller sends a body that is too large, and is still sending when the instance has seen enough. It
+/// must get its answer: if the instance closed at once, the caller would see a reset instead.
+#[test]
+fn a_caller_that_is_still_sending_gets_its_refusal() {
+    const PIECE: usize = 1024 * 1024;
+    let deployment = Deployment::start("large_body", 1);
+    let address = deployment.http_address();
+    let mut stream = TcpStream::connect(&address).expect("the instance listens");
+    stream.set_read_timeout(Some(Duration::from_secs(20))).expect("a timeout can be set");
+    let length = 6 * PIECE;
+    let head = format!(
+        "POST /v1/programs HTTP/1.0\r\nhost: {address}\r\ncontent-length: {length}\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("the head is sent");
+    for _ in 0..6 {
+        stream.write_all(&[b'x'; PIECE]).expect("a piece is sent");
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("the answer ends");
+    assert!(text.starts_with("HTTP/1.0 413") || text.starts_with("HTTP/1.1 413"), "{text}");
+}
+
 #[test]
 fn bad_input_is_told_and_changes_nothing() {
     let deployment = Deployment::start("bad_input", 1);
