Tell an upstream's lives apart, and take no upstream from a mangled entry

Cause: an engine may start again under its id. What was believed of it (parts held, load, pace, failures, kept connections, holder of chains) went on, and one that had drained got no work for good. An entry with fields missing or of another type was taken with defaults, and one in the place of a good entry left that in use. Ruled out: entries of today carry no 'born' (a trial that logged them), so its absence names the one life an id has; a late beat without it after one with it is of a former life. Change: entries carry the birth; a later one starts from nothing, an earlier one is ignored, also after a removal; records of turns name the life that holds the chain; all fields of an entry are required. Before, seen failing: an_engine_starts_again_under_its_id, entries_of_another_writer_name_nobody.

--- a/src/core/turns/record.rs
+++ b/src/core/turns/record.rs
@@ -8,6 +8,7 @@
 
 use super::{ProgramName, TurnId};
 use crate::core::ids::{Tokens, UpstreamId};
+use crate::core::upstreams::BirthMillis;
 
 /// What a caller sent and what the engine answered. It never changes once it is written.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     pub origin: Option<ProgramName>,
     /// The engine that ran it and so holds the chain in its memory.
     pub upstream: UpstreamId,
+    /// Which life of it, where it tells.
+    pub born: Option<BirthMillis>,
     /// Tokens passed on to the caller. The record settles the turn's reservation by being there.
     pub used: Tokens,
     /// The caller's new input.
@@ -35,6 +38,8 @@
     origin: Option<ProgramName>,
     #[serde(rename = "u")]
     upstream: UpstreamId,
+    #[serde(rename = "b", default, skip_serializing_if = "Option::is_none")]
+    born: Option<BirthMillis>,
     #[serde(rename = "t")]
     used: Tokens,
     #[serde(rename = "i")]
@@ -55,6 +60,7 @@
             previous: self.previous.clone(),
             origin: self.origin.clone(),
             upstream: self.upstream.clone(),
+            born: self.born,
             used: self.used,
             input: self.input.len(),
         };
@@ -81,6 +87,7 @@
             previous: head.previous,
             origin: head.origin,
             upstream: head.upstream,
+            born: head.born,
             used: head.used,
             input: body.slice(..head.input),
             output: body.slice(head.input..),
--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -4,7 +4,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::table::TrackedUpstream;
-use super::{PromptPart, UpstreamTable};
+use super::{BirthMillis, PromptPart, UpstreamTable};
 use crate::core::ids::UpstreamId;
 
 /// Prompt tokens an engine reads in a millisecond; measured on the users' engines (32.4), rounded.
@@ -59,6 +59,7 @@
 #[derive(Debug, Clone, PartialEq)]
 pub struct UpstreamChoice {
     pub id: UpstreamId,
+    pub born: Option<BirthMillis>,
     pub address: Box<str>,
     /// What the choice is expected to cost, in milliseconds.
     pub cost_ms: f64,
@@ -81,6 +82,7 @@
         let (cost_ms, known) = priced?;
         Some(UpstreamChoice {
             id: known.entry.id.clone(),
+            born: known.entry.born,
             address: known.entry.address.clone(),
             cost_ms,
             candidates: ranked.len(),
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -18,6 +18,9 @@
 /// Name of a part of a prompt; requests whose prompts begin alike name the same parts.
 pub type PartId = Box<str>;
 
+/// When an upstream started, in milliseconds since 1970 by its own clock.
+pub type BirthMillis = u64;
+
 /// Whether an upstream takes new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum UpstreamState {
@@ -30,8 +33,10 @@
 /// One upstream as it describes itself in the store's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
-    /// New at each start of the upstream.
+    /// An upstream that starts again may keep it; `born` tells its lives apart.
     pub id: UpstreamId,
+    /// Absent where upstreams get a new id at each start.
+    pub born: Option<BirthMillis>,
     pub service: ServiceName,
     pub address: Box<str>,
     pub zone: Box<str>,
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -5,7 +5,9 @@
 
 use tokio::time::Instant;
 
-use super::{AttemptResult, PartId, RecentWork, UpstreamEntry, UpstreamHealth, UpstreamState};
+use super::{
+    AttemptResult, BirthMillis, PartId, RecentWork, UpstreamEntry, UpstreamHealth, UpstreamState,
+};
 use crate::core::ids::UpstreamId;
 use crate::core::routing::ServiceName;
 
@@ -17,6 +19,10 @@
 /// Records of which upstream has read which part; 20,000 take some 2 MB.
 const MAX_RESIDENT: usize = 20_000;
 
+/// Births remembered of upstreams that are gone; beyond that those of listed ones remain. 10,000 take
+/// some 0.5 MB.
+const MAX_BIRTHS: usize = 10_000;
+
 /// One line of news from the store's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ListNews {
@@ -29,6 +35,8 @@
     pub(super) entry: UpstreamEntry,
     pub(super) health: UpstreamHealth,
     pub(super) work: RecentWork,
+    /// When this life of the upstream was first heard of.
+    since: Instant,
     /// Whether the entry vanished about an outage of the store.
     missing: bool,
 }
@@ -45,13 +53,17 @@
     resident_order: VecDeque<PartId>,
     /// Running means of what is measured at each service's upstreams, in milliseconds.
     usual: BTreeMap<ServiceName, f64>,
+    /// Newest life heard of by id, also of upstreams that are gone.
+    births: BTreeMap<UpstreamId, BirthMillis>,
+    /// Addresses of lives that ended since this was last asked.
+    left_addresses: Vec<Box<str>>,
 }
 
 impl UpstreamTable {
     /// Takes in news; true if they changed what may be chosen.
     pub fn apply(&mut self, news: ListNews, now: Instant) -> bool {
         match news {
-            ListNews::Listed(entry) => self.list(entry),
+            ListNews::Listed(entry) => self.list(entry, now),
             ListNews::Removed(id) => self.remove(&id, now),
         }
     }
@@ -60,7 +72,7 @@
     pub fn replace(&mut self, entries: Vec<UpstreamEntry>, now: Instant) {
         let listed: BTreeSet<UpstreamId> = entries.iter().map(|entry| entry.id.clone()).collect();
         for entry in entries {
-            self.list(entry);
+            self.list(entry, now);
         }
         let gone: Vec<_> =
             self.upstreams.keys().filter(|id| !listed.contains(*id)).cloned().collect();
@@ -69,25 +81,82 @@
         }
     }
 
-    fn list(&mut self, entry: UpstreamEntry) -> bool {
-        let Some(known) = self.upstreams.get_mut(&entry.id) else {
-            let health = UpstreamHealth::default();
+    fn list(&mut self, entry: UpstreamEntry, now: Instant) -> bool {
+        if self.is_of_former_life(&entry) {
+            return false;
+        }
+        let begins = self.begins_life(&entry);
+        if let Some(born) = entry.born {
+            self.births.insert(entry.id.clone(), born);
+            self.trim_births();
+        }
+        let Some(known) = self.upstreams.get_mut(&entry.id).filter(|_| !begins) else {
+            if begins {
+                self.forget_residency(&entry.id);
+            }
             let id = entry.id.clone();
-            self.upstreams.insert(
-                id,
-                TrackedUpstream { entry, health, work: RecentWork::default(), missing: false },
-            );
+            let former = self.upstreams.get(&id).map(|known| known.entry.address.clone());
+            self.left_addresses.extend(former);
+            let tracked = TrackedUpstream {
+                entry,
+                health: UpstreamHealth::default(),
+                work: RecentWork::default(),
+                since: now,
+                missing: false,
+            };
+            self.upstreams.insert(id, tracked);
             return true;
         };
         known.missing = false;
         let changed = known.entry.state != entry.state || known.entry.address != entry.address;
-        // A draining upstream never returns; late news of an earlier state must not revive it.
+        // A draining upstream returns only with a new life; late news of an earlier state must not
+        // revive it.
         if known.entry.state == UpstreamState::Ready {
             known.entry = entry;
         }
         changed
     }
 
+    /// Whether an entry was written by an earlier life than the newest one heard of. A store may
+    /// apply a write seconds late: believed, it would send work to an address where nobody is.
+    fn is_of_former_life(&self, entry: &UpstreamEntry) -> bool {
+        self.births
+            .get(&entry.id)
+            .is_some_and(|newest| entry.born.is_none_or(|born| born < *newest))
+    }
+
+    /// Whether an entry tells of a life that follows another one under the same id. All that is
+    /// believed of the upstream ends with the former: kept, turns would go where no chain is held any
+    /// more, and one that had drained would get no work for good.
+    fn begins_life(&self, entry: &UpstreamEntry) -> bool {
+        let newest = self.births.get(&entry.id).copied();
+        entry.born > newest && (newest.is_some() || self.upstreams.contains_key(&entry.id))
+    }
+
+    /// Addresses of upstreams that have started anew since this was last asked: connections that
+    /// are kept there lead to nobody.
+    pub fn take_left_addresses(&mut self) -> Vec<Box<str>> {
+        std::mem::take(&mut self.left_addresses)
+    }
+
+    fn trim_births(&mut self) {
+        if self.births.len() > MAX_BIRTHS {
+            let listed = &self.upstreams;
+            self.births.retain(|id, _| listed.contains_key(id));
+        }
+    }
+
+    fn forget_residency(&mut self, id: &str) {
+        for holders in self.resident.values_mut() {
+            holders.remove(id);
+        }
+    }
+
+    /// Whether an upstream still lives that had this birth.
+    pub fn lives(&self, id: &str, born: Option<BirthMillis>) -> bool {
+        self.upstreams.get(id).is_some_and(|known| known.entry.born == born)
+    }
+
     /// An entry that vanishes in or right after an outage of the store may only have lapsed, with
     /// the upstream in full health: dropping all of them at once would leave nobody to serve.
     fn remove(&mut self, id: &str, now: Instant) -> bool {
@@ -171,18 +240,24 @@
 
     /// The first bytes of an answer came, to an attempt that began then.
     pub fn heard(&mut self, id: &str, begun: Instant) {
-        if let Some(known) = self.upstreams.get_mut(id) {
+        if let Some(known) = self.tracked_since(id, begun) {
             known.health.heard(begun);
         }
     }
 
     /// An attempt that began then has ended.
     pub fn ended(&mut self, id: &str, begun: Instant, result: AttemptResult, now: Instant) {
-        if let Some(known) = self.upstreams.get_mut(id) {
+        if let Some(known) = self.tracked_since(id, begun) {
             known.health.ended(begun, result, now);
         }
     }
 
+    /// The upstream whose present life got an attempt that began then; what happens to attempts at a
+    /// former life says nothing about it.
+    fn tracked_since(&mut self, id: &str, begun: Instant) -> Option<&mut TrackedUpstream> {
+        self.upstreams.get_mut(id).filter(|known| known.since <= begun)
+    }
+
     /// Notes a time that tells how fast an upstream works, in milliseconds. It is held against the
     /// usual one of its service.
     pub fn measure(&mut self, id: &str, millis: f64, now: Instant) {
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -59,15 +59,18 @@
             }
         }
         answer.guard.record(AttemptResult::Answered);
-        self.note_resident(call, &upstream);
-        self.note_pace(&upstream, first_at, events.events());
+        // What a former life has read is in nobody's memory.
+        if self.news.upstreams.borrow().lives(&upstream, answer.choice.born) {
+            self.note_resident(call, &upstream);
+            self.note_pace(&upstream, first_at, events.events());
+        }
         let UpstreamAnswer { choice, connection, info, .. } = answer;
         self.pool.put(&choice.address, connection, info.keep_alive);
         if let Some(turn) = turn.filter(|_| status == StatusCode::OK) {
             if !events.is_whole() {
                 return CallEnd::cut("stream_torn", Some(upstream));
             }
-            let record = turn.record(&upstream, events);
+            let record = turn.record(&choice, events);
             if !turn.reservation.complete(record, call.deadline).await {
                 return CallEnd::cut("turn_not_kept", Some(upstream));
             }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -10,6 +10,7 @@
 use super::CallContext;
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
+use crate::core::upstreams::UpstreamChoice;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::chain_body;
 use crate::gateway::events::EventParser;
@@ -50,12 +51,19 @@
         }
         let (chain, reservation) = self.claim_turn(call, &program).await?;
         let input = call.body.clone();
-        call.holder = chain.turns.last().map(|turn| turn.upstream.clone());
+        call.holder = self.chain_holder(&chain);
         call.body = chain_body(&chain.turns, &input);
         let previous = call.head.previous.clone();
         Ok(TurnWork { previous, origin: chain.origin, input, reservation })
     }
 
+    /// The engine that holds the chain, unless it has started anew since.
+    fn chain_holder(&self, chain: &TurnChain) -> Option<UpstreamId> {
+        let last = chain.turns.last()?;
+        let lives = self.news.upstreams.borrow().lives(&last.upstream, last.born);
+        lives.then(|| last.upstream.clone())
+    }
+
     /// Reads what a turn continues from and sets its tokens aside, anew if it has expired since it
     /// was seen here.
     async fn claim_turn(
@@ -139,11 +147,12 @@
 }
 
 impl TurnWork {
-    pub(super) fn record(&self, upstream: &UpstreamId, events: EventParser) -> TurnRecord {
+    pub(super) fn record(&self, choice: &UpstreamChoice, events: EventParser) -> TurnRecord {
         TurnRecord {
             previous: self.previous.clone(),
             origin: self.origin.clone(),
-            upstream: upstream.clone(),
+            upstream: choice.id.clone(),
+            born: choice.born,
             used: self.reservation.used(),
             input: self.input.clone(),
             output: events.into_output(),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -109,7 +109,7 @@
     let store = Rc::new(StoreLink::new(address, pool.clone(), dialect.clone(), across, meter));
     let members = Rc::new(MemberView::new(&settings, sockets.gossip, seed));
     store.set_peers(members.clone());
-    let news = Rc::new(StoreNews::new(store.clone(), dialect.clone()));
+    let news = Rc::new(StoreNews::new(store.clone(), pool.clone(), dialect.clone()));
     let cache_bytes = settings.cache_bytes();
     let committer = Rc::new(StoreCommitter::new(store.clone()));
     actix_rt::spawn(committer.clone().run());
--- a/src/gateway/sync.rs
+++ b/src/gateway/sync.rs
@@ -1,16 +1,19 @@
 //! Follows the store's news of routes and upstreams.
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::time::{Instant, sleep};
 
 use super::dialect::GatewayDialect;
+use super::http::ConnectionPool;
 use super::rows::{ChangesReply, RowRange, RowVersion, StoredRow};
 use super::store::StoreLink;
+use crate::core::ids::UpstreamId;
 use crate::core::routing::{RouteTable, TableNews, TableView};
-use crate::core::upstreams::{ListNews, UpstreamTable};
+use crate::core::upstreams::{ListNews, UpstreamEntry, UpstreamTable};
 use crate::node::platform::StoreError;
 
 /// How long the store may hold a question for new routes. A connection that has gone silent is
@@ -30,20 +33,29 @@
 /// What the instance knows from the store's news.
 pub(crate) struct StoreNews {
     store: Rc<StoreLink>,
+    pool: Rc<ConnectionPool>,
     dialect: Rc<dyn GatewayDialect>,
     routes: RefCell<TableView>,
     pub(crate) upstreams: RefCell<UpstreamTable>,
     upstreams_known: Cell<bool>,
+    /// Versions of entries that could not be read, so that each is told of once.
+    rejected: RefCell<BTreeMap<UpstreamId, RowVersion>>,
 }
 
 impl StoreNews {
-    pub(crate) fn new(store: Rc<StoreLink>, dialect: Rc<dyn GatewayDialect>) -> Self {
+    pub(crate) fn new(
+        store: Rc<StoreLink>,
+        pool: Rc<ConnectionPool>,
+        dialect: Rc<dyn GatewayDialect>,
+    ) -> Self {
         Self {
             store,
+            pool,
             dialect,
             routes: RefCell::default(),
             upstreams: RefCell::default(),
             upstreams_known: Cell::new(false),
+            rejected: RefCell::default(),
         }
     }
 
@@ -144,18 +156,29 @@
         let now = Instant::now();
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams.replace(entries, now);
+        self.forget_left(&mut upstreams);
         self.upstreams_known.set(true);
         Ok(oldest.unwrap_or_default())
     }
 
-    fn listed(&self, row: &StoredRow) -> Option<crate::core::upstreams::UpstreamEntry> {
-        match self.dialect.upstream_entry(row) {
-            Ok(entry) => Some(entry),
-            Err(error) => {
-                log::error!("event=upstream_rejected upstream={} error=\"{error}\"", row.key.key);
-                None
+    /// What a row says of an upstream; none if it names no upstream to use. Then whatever stood in
+    /// the row before is gone, and all other rows hold.
+    fn listed(&self, row: &StoredRow) -> Option<UpstreamEntry> {
+        let error = match self.dialect.upstream_entry(row) {
+            Ok(entry) => {
+                self.rejected.borrow_mut().remove(&row.key.key);
+                return Some(entry);
             }
+            Err(error) => error,
+        };
+        let known = self.rejected.borrow_mut().insert(row.key.key.clone(), row.version);
+        if known != Some(row.version) {
+            let (upstream, version) = (&row.key.key, row.version);
+            log::error!(
+                "event=upstream_rejected upstream={upstream} version={version} error=\"{error}\""
+            );
         }
+        None
     }
 
     pub(crate) async fn follow_upstreams(self: Rc<Self>) {
@@ -198,12 +221,13 @@
         let now = Instant::now();
         let mut upstreams = self.upstreams.borrow_mut();
         for row in rows {
-            let news = match row.value {
+            let entry = row.value.as_ref().and_then(|_| self.listed(row));
+            if row.value.is_none() {
+                self.rejected.borrow_mut().remove(&row.key.key);
+            }
+            let news = match entry {
+                Some(entry) => ListNews::Listed(entry),
                 None => ListNews::Removed(row.key.key.clone()),
-                Some(_) => match self.listed(row) {
-                    Some(entry) => ListNews::Listed(entry),
-                    None => continue,
-                },
             };
             let state = match &news {
                 ListNews::Listed(entry) => entry.state.to_string(),
@@ -216,11 +240,18 @@
                 );
             }
         }
+        self.forget_left(&mut upstreams);
         for upstream in upstreams.expire(now) {
             log::info!("event=upstream_changed upstream={upstream} state=lapsed");
         }
     }
 
+    fn forget_left(&self, upstreams: &mut UpstreamTable) {
+        for address in upstreams.take_left_addresses() {
+            self.pool.forget(&address);
+        }
+    }
+
     /// Tries until it succeeds.
     async fn first<F: Future<Output = Result<RowVersion, StoreError>>>(
         &self,
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -80,6 +80,48 @@
     assert_eq!(deployment.engines[0].seen(), before);
 }
 
+/// An engine drains and starts again under its id, at another address. Callers are served by its new
+/// life; a beat of the former one that the store applies late changes nothing.
+#[actix_rt::test]
+async fn an_engine_starts_again_under_its_id() {
+    let deployment = Deployment::start(1, 0).await;
+    let (first, second) = (StandinEngine::default(), StandinEngine::default());
+    let addresses = [first.start("127.0.0.1").await, second.start("127.0.0.1").await];
+    deployment.list_life("e", &addresses[0], "ready", 1_000);
+    let book = async |id: &str| deployment.gateway().call(&call("book", id)).await.status();
+    wait_until("it serves", async || book("b1").await == 200).await;
+    deployment.list_life("e", &addresses[0], "draining", 1_000);
+    wait_until("it drains", async || book("b2").await == 503).await;
+    deployment.list_life("e", &addresses[1], "ready", 2_000);
+    wait_until("its new life serves", async || book("b3").await == 200).await;
+    deployment.list_life("e", &addresses[0], "ready", 1_000);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = first.seen();
+    assert_eq!(book("b4").await, 200);
+    assert_eq!(first.seen(), before);
+}
+
+/// Another writer puts rows into the list of engines that name none, one of them in the place of a
+/// good entry. The others go on serving, also after the list was read anew.
+#[actix_rt::test]
+async fn entries_of_another_writer_name_nobody() {
+    let deployment = Deployment::start(1, 2).await;
+    deployment.store.put_raw("servers", "bytes", b"\xff\xfe");
+    deployment.store.put("servers", "fields", &json!({ "service": "llm", "state": "ready" }));
+    deployment.store.put("servers", "e0", &json!({ "state": "resting" }));
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let before = deployment.engines[0].seen();
+    for number in 0..6 {
+        let answer = deployment.gateway().call(&call("book", &format!("b{number}"))).await;
+        assert_eq!(answer.status(), 200);
+        if number == 2 {
+            deployment.store.compact();
+            tokio::time::sleep(Duration::from_millis(1_500)).await;
+        }
+    }
+    assert_eq!(deployment.engines[0].seen(), before);
+}
+
 /// The engines' entries lapse while the store is away, and return after it. Dropping them on the
 /// first news would refuse all work for two seconds.
 #[actix_rt::test]
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -238,6 +238,74 @@
     assert!(PlatformDialect.upstream_entry(&row("i-1", Some(r#"{"state":"odd"}"#))).is_err());
 }
 
+const ENTRY: &str = r#"{"service":"s","address":"10.0.0.9:80","zone":"z","version":"v1","slots":6,
+    "state":"ready","cold-left-ms":0,"sequence":4,"born":1700000000000,"news":[1]}"#;
+
+/// Another writer puts an entry into the list in which one field is missing or of another type. It
+/// names no upstream: taken for one, requests would go to an address nobody vouches for.
+#[rstest]
+fn a_mangled_entry_names_no_upstream(
+    #[values(
+        "service",
+        "address",
+        "zone",
+        "version",
+        "slots",
+        "state",
+        "cold-left-ms",
+        "sequence"
+    )]
+    field: &str,
+    #[values("absent", "null", "[]", "{}", "true", "-1", "1.5", "\"\"", "\"odd\"")] value: &str,
+) {
+    let mut entry: serde_json::Value = serde_json::from_str(ENTRY).expect("it is JSON");
+    if value == "absent" {
+        entry.as_object_mut().expect("an object").remove(field);
+    } else {
+        entry[field] = serde_json::from_str(value).expect("it is JSON");
+    }
+    let text = entry.to_string();
+    let any_text = ["service", "zone", "version"].contains(&field) && value.starts_with('"');
+    let time = field == "cold-left-ms" && ["-1", "1.5"].contains(&value);
+    let decoded = PlatformDialect.upstream_entry(&row("i-1", Some(&text)));
+    assert_eq!(decoded.is_ok(), any_text || time, "{text}");
+}
+
+#[rstest]
+#[case("1700000000000", Some(Some(1_700_000_000_000)))]
+#[case("1.5", None)]
+#[case("-1", None)]
+#[case("null", None)]
+#[case("\"1700000000000\"", None)]
+fn a_birth_is_a_whole_number(#[case] born: &str, #[case] expected: Option<Option<u64>>) {
+    let text = ENTRY.replace("1700000000000", born);
+    let decoded = PlatformDialect.upstream_entry(&row("i-1", Some(&text)));
+    assert_eq!(decoded.ok().map(|entry| entry.born), expected);
+}
+
+proptest::proptest! {
+    /// Bytes of an entry are lost or replaced on their way into the store. Reading it never panics,
+    /// and what it still names is complete.
+    #[test]
+    fn spoilt_bytes_never_name_half_an_upstream(
+        at in 0..ENTRY.len(),
+        byte in proptest::num::u8::ANY,
+        cut in proptest::bool::ANY,
+    ) {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        if cut {
+            bytes.truncate(at);
+        } else {
+            bytes[at] = byte;
+        }
+        let mut spoilt = row("i-1", None);
+        spoilt.value = Some(bytes.into());
+        if let Ok(entry) = PlatformDialect.upstream_entry(&spoilt) {
+            assert!(entry.address.parse::<std::net::SocketAddr>().is_ok());
+        }
+    }
+}
+
 #[test]
 fn store_calls_are_spelled_as_the_platform_reads_them() {
     let key =
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -209,14 +209,17 @@
         self.list_engine_in("zone-a", id, address, state);
     }
 
-    fn list_engine_in(&self, zone: &str, id: &str, address: &str, state: &str) {
-        let entry = json!({
-            "service": "llm", "address": address, "zone": zone, "version": "v1",
-            "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1
-        });
+    /// Lists a life of an engine that tells when it started.
+    pub fn list_life(&self, id: &str, address: &str, state: &str, born: u64) {
+        let mut entry = engine_entry("zone-a", address, state);
+        entry["born"] = born.into();
         self.store.put("servers", id, &entry);
     }
 
+    fn list_engine_in(&self, zone: &str, id: &str, address: &str, state: &str) {
+        self.store.put("servers", id, &engine_entry(zone, address, state));
+    }
+
     pub fn gateway(&self) -> &TestGateway {
         &self.gateways[0]
     }
@@ -231,6 +234,13 @@
     }
 }
 
+fn engine_entry(zone: &str, address: &str, state: &str) -> Value {
+    json!({
+        "service": "llm", "address": address, "zone": zone, "version": "v1",
+        "slots": 8, "state": state, "cold-left-ms": 0, "sequence": 1
+    })
+}
+
 /// A configuration.
 pub fn manifest(version: u64, routes: &[Value]) -> Value {
     json!({
--- a/tests/turn_ledgers.rs
+++ b/tests/turn_ledgers.rs
@@ -70,6 +70,7 @@
             previous: Some("t0".into()),
             origin: None,
             upstream: "e1".into(),
+            born: Some(1_700_000_000_000),
             used: 6,
             input: Bytes::from(input),
             output: Bytes::from(output),
@@ -106,7 +107,15 @@
     let previous = previous.map(Into::into);
     let input = Bytes::from(vec![b'x'; bytes]);
     let output = Bytes::new();
-    Rc::new(TurnRecord { previous, origin: None, upstream: "e".into(), used: 2, input, output })
+    Rc::new(TurnRecord {
+        previous,
+        origin: None,
+        upstream: "e".into(),
+        born: None,
+        used: 2,
+        input,
+        output,
+    })
 }
 
 #[test]
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -11,6 +11,7 @@
 fn entry(id: &str, zone: &str, state: UpstreamState) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        born: None,
         service: "llm".into(),
         address: format!("{id}:1").into(),
         zone: zone.into(),
@@ -179,3 +180,60 @@
     table.ended("a", streaming, AttemptResult::Abandoned, Instant::now());
     assert_eq!(table.aside(Instant::now()), 0);
 }
+
+fn life(id: &str, born: u64, state: UpstreamState) -> ListNews {
+    ListNews::Listed(UpstreamEntry { born: Some(born), ..entry(id, "near", state) })
+}
+
+/// An engine drains, ends and starts again under its id. Its new life holds nothing and has failed
+/// nobody: it gets work at once, but not as the holder of what its former life had read.
+#[tokio::test(start_paused = true)]
+async fn a_new_life_starts_from_nothing() {
+    let mut table = table(&[("b", "near")]);
+    let parts = long_prompt();
+    table.apply(life("a", 1_000, UpstreamState::Ready), Instant::now());
+    for part in &parts {
+        table.note_resident(&"a".into(), &part.part);
+    }
+    let former = Instant::now();
+    table.started("a", 0.0, former);
+    table.ended("a", former, AttemptResult::Unreachable, Instant::now());
+    table.started("a", 0.0, former);
+    table.apply(life("a", 1_000, UpstreamState::Draining), Instant::now());
+    let tried = ["b".into()];
+    let fresh = |table: &UpstreamTable| {
+        let request = ChoiceRequest { parts: &parts, ..request(&tried, None) };
+        table.choose(&request).map(|choice| (choice.born, choice.running, choice.prefill_ms))
+    };
+    assert_eq!(fresh(&table), None, "it drains");
+    advance(Duration::from_secs(1)).await;
+    assert!(table.apply(life("a", 2_000, UpstreamState::Ready), Instant::now()));
+    assert_eq!(table.take_left_addresses(), ["a:1".into()]);
+    let unread = parts.iter().map(|part| part.tokens).sum::<u64>() as f64 / 32.0;
+    assert_eq!(fresh(&table), Some((Some(2_000), 0, unread)));
+    assert_eq!(table.aside(Instant::now()), 0);
+    // What is still under way at the former life says nothing about the new one.
+    table.ended("a", former, AttemptResult::Unreachable, Instant::now());
+    assert_eq!(table.aside(Instant::now()), 0);
+    assert!(table.lives("a", Some(2_000)) && !table.lives("a", Some(1_000)));
+}
+
+/// The store applies a beat of an engine's former life seconds late, after its new one was listed,
+/// and again after that was removed: it brings nothing back.
+#[rstest::rstest]
+#[case(Some(1_000))]
+#[case(None)]
+#[tokio::test(start_paused = true)]
+async fn a_former_life_never_returns(#[case] born: Option<u64>) {
+    let mut table = UpstreamTable::default();
+    let former = UpstreamEntry { born, ..entry("a", "far", UpstreamState::Draining) };
+    table.apply(life("a", 2_000, UpstreamState::Ready), Instant::now());
+    assert!(!table.apply(ListNews::Listed(former.clone()), Instant::now()));
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+    table.apply(ListNews::Removed("a".into()), Instant::now());
+    table.apply(ListNews::Listed(former), Instant::now());
+    assert!(table.is_empty());
+    // The same life may only have lapsed.
+    table.apply(life("a", 2_000, UpstreamState::Ready), Instant::now());
+    assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
+}
