Find out once that the direct way to the store is silent

Cause: where the store falls silent for one instance, a peer's answer ended the call and the silent direct try was dropped unjudged, so each call waited 400 to 520 ms for its peer as long as the cut lasted; every half second one call of a caller tried the direct way; two peers that were cut off too meant a refusal (10 to 20 of 100 turns on the instances cut off). Ruled out: the peers' own time (a turn relayed at once is sent after 13 ms at the median). Change: a peer that answers while the direct way is silent marks that way as lost; a probe of its own looks for its return; the peer that relayed last is asked first, those that failed lately last, three in all.

--- a/src/gateway/store/health.rs
+++ b/src/gateway/store/health.rs
@@ -27,9 +27,6 @@
 /// within that time, it is there: taken for an outage, one busy part sent every call of an instance
 /// the long way or refused all its turns for a quarter of a second.
 const OVER_RATE_DOUBT: Duration = Duration::from_secs(1);
-/// While the direct way fails, one call takes it again this often.
-const DIRECT_RETRY: Duration = Duration::from_millis(500);
-
 /// What is known of the ways to the store.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct StoreHealth {
@@ -76,19 +73,6 @@
         self.direct_failed.is_some()
     }
 
-    /// Whether a call should take the direct way first. While that fails, one call in a while does;
-    /// the others keep to their peers until it has found out.
-    pub(super) fn tries_direct(&mut self) -> bool {
-        match self.direct_failed {
-            Some(at) if at.elapsed() < DIRECT_RETRY => false,
-            Some(_) => {
-                self.direct_failed = Some(Instant::now());
-                true
-            }
-            None => true,
-        }
-    }
-
     /// A way other than the direct one brought an answer.
     pub(super) fn answered(&mut self) {
         self.answered = Some(Instant::now());
--- a/src/gateway/store/mod.rs
+++ b/src/gateway/store/mod.rs
@@ -2,6 +2,7 @@
 
 mod health;
 mod relay;
+mod relay_order;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -15,6 +16,7 @@
 
 use self::health::StoreHealth;
 use self::relay::{RelayReply, RelayRequest, read_relay};
+use self::relay_order::RelayOrder;
 use super::dialect::GatewayDialect;
 use super::http::{ConnectionPool, ExchangeError};
 use super::metrics::StoreMeter;
@@ -28,12 +30,16 @@
 /// Factor between the wait before a call takes its second way and that before the third: a store that
 /// has turned slow must not get each call four times.
 const HEDGE_BACKOFF: u32 = 3;
-/// Peers asked for one call: with a third of the instances cut off, two find the way in 8 of 9.
-const RELAY_TRIES: usize = 2;
-/// While no way works, one call looks this often whether the store is back.
+/// Peers asked for one call: those that serve callers reach the store as a rule, and with half of the
+/// others cut off as well, three find the way in 7 of 8.
+const RELAY_TRIES: usize = 3;
+/// While no way works, a question looks this often whether the store is back.
 const PROBE_PACE: Duration = Duration::from_millis(250);
+/// While only the direct way fails, a question looks this often whether it works again: nobody waits
+/// for it, and each counts as a call of the store.
+const DIRECT_PROBE_PACE: Duration = Duration::from_millis(500);
 
-/// Addresses of peers that may relay, in the order in which to ask them.
+/// Addresses of peers that may relay, those that are likelier to reach the store first.
 pub(crate) trait RelayPeers {
     fn relay_addresses(&self) -> Vec<Box<str>>;
 }
@@ -56,6 +62,7 @@
     pool: Rc<ConnectionPool>,
     dialect: Rc<dyn GatewayDialect>,
     peers: RefCell<Option<Rc<dyn RelayPeers>>>,
+    relays: RefCell<RelayOrder>,
     health: RefCell<StoreHealth>,
     /// Tells of every loss and return of the store.
     changed: Notify,
@@ -78,6 +85,7 @@
             pool,
             dialect,
             peers: RefCell::default(),
+            relays: RefCell::default(),
             health: RefCell::default(),
             changed: Notify::new(),
             meter,
@@ -190,6 +198,10 @@
     }
 
     /// Sends a call one way, after a while or a failure another way too; the first answer counts.
+    ///
+    /// Where a peer answers while the direct way is silent, that way counts as lost at once. Left to
+    /// time out, each call of an instance behind a cut waited 400 to 520 ms for its peer (one turn in
+    /// ten to fifty, for as long as the cut lasted).
     async fn race(&self, call: &StoreCall) -> StoreAnswer {
         let health = *self.health.borrow();
         let limit = Instant::now() + call.hold + health.limit();
@@ -197,11 +209,17 @@
         let mut running = FuturesUnordered::new();
         let mut next_at = Instant::now();
         let mut delay = health.hedge_delay();
+        let begun = Instant::now();
+        let mut direct_pending: usize = 0;
         let mut result = Err(StoreError::Unavailable);
         loop {
             if Instant::now() >= next_at || running.is_empty() {
                 match ways.next() {
-                    Some(way) => running.push(self.send(way, call, limit)),
+                    Some(way) => {
+                        let direct = matches!(way, StoreWay::Direct { .. });
+                        direct_pending += usize::from(direct);
+                        running.push(async move { (direct, self.send(way, call, limit).await) });
+                    }
                     None if running.is_empty() => return result,
                     None => {}
                 }
@@ -210,12 +228,20 @@
             }
             let wake = if ways.len() == 0 { limit } else { next_at.min(limit) };
             tokio::select! {
-                Some(answer) = running.next() => match answer {
-                    Ok(answer) => return Ok(answer),
-                    // What may have taken effect outweighs what has not.
-                    Err(StoreError::Unavailable) => {}
-                    Err(error) => result = Err(error),
-                },
+                Some((direct, answer)) = running.next() => {
+                    direct_pending -= usize::from(direct);
+                    match answer {
+                        Ok(answer) => {
+                            if !direct && direct_pending > 0 {
+                                self.health.borrow_mut().direct_failed(begun, &StoreError::ReplyLost);
+                            }
+                            return Ok(answer);
+                        }
+                        // What may have taken effect outweighs what has not.
+                        Err(StoreError::Unavailable) => {}
+                        Err(error) => result = Err(error),
+                    }
+                }
                 () = sleep_until(wake) => {
                     if Instant::now() >= limit {
                         return Err(StoreError::ReplyLost);
@@ -228,8 +254,9 @@
     /// The ways in the order in which to try them.
     fn ways(&self) -> Vec<StoreWay> {
         let peers = self.peers.borrow().as_ref().map(|peers| peers.relay_addresses());
-        let peers = peers.unwrap_or_default().into_iter().take(RELAY_TRIES).map(StoreWay::Peer);
-        if !self.health.borrow_mut().tries_direct() {
+        let peers = self.relays.borrow_mut().order(peers.unwrap_or_default());
+        let peers = peers.into_iter().take(RELAY_TRIES).map(StoreWay::Peer);
+        if self.health.borrow().is_direct_lost() {
             return peers.chain([StoreWay::Direct { fresh: true }]).collect();
         }
         let direct = [StoreWay::Direct { fresh: false }, StoreWay::Direct { fresh: true }];
@@ -252,6 +279,9 @@
             // Its failures are judged where their cause is known.
             Err(_) => {}
         }
+        if let StoreWay::Peer(peer) = &way {
+            self.relays.borrow_mut().note(peer, answer.is_ok());
+        }
         answer
     }
 
@@ -297,14 +327,28 @@
     /// Looks for the store while it is away. Probes overlap: one that hangs must not keep the next
     /// from finding that the store is back.
     pub(crate) async fn watch(self: Rc<Self>) {
+        let mut direct_at = Instant::now();
         loop {
             sleep(PROBE_PACE).await;
+            let direct_lost = self.health.borrow().is_direct_lost();
             if self.outage().is_some() {
                 actix_rt::spawn(self.clone().probe());
+            } else if direct_lost && Instant::now() >= direct_at {
+                direct_at = Instant::now() + DIRECT_PROBE_PACE;
+                actix_rt::spawn(self.clone().probe_direct());
             }
         }
     }
 
+    /// Looks whether the direct way works again, so that no call of a caller has to find out.
+    async fn probe_direct(self: Rc<Self>) {
+        let table = self.dialect.routes_table();
+        let call = self.dialect.changes_call(table, RowVersion::MAX / 2, Duration::ZERO);
+        let limit = Instant::now() + self.health.borrow().limit();
+        // An answer is noted where it arrives; a failure changes nothing.
+        let _ = self.send(StoreWay::Direct { fresh: true }, &call, limit).await;
+    }
+
     async fn probe(self: Rc<Self>) {
         let table = self.dialect.routes_table();
         let call = self.dialect.changes_call(table, RowVersion::MAX / 2, Duration::ZERO);
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -217,6 +217,35 @@
     assert_eq!(next.status(), 200);
 }
 
+/// The store falls silent for one instance and serves the other. Callers of the first see one stall;
+/// after that each turn goes by the peer at once, and nobody's call is spent on looking whether the
+/// direct way works again.
+#[actix_rt::test]
+async fn an_instance_behind_a_cut_stalls_once() {
+    let mut deployment = Deployment::start(1, 1).await;
+    let (address, cut) = deployment.store.start_behind_cut("127.0.0.1").await;
+    let port = deployment.gateway().settings.gossip_port;
+    let seeds: Vec<_> = deployment.gateways.iter().collect();
+    let behind = platform_standin::TestGateway::start("127.0.0.9", &address, port, &seeds);
+    behind.ready().await;
+    deployment.gateways.push(behind);
+    let behind = &deployment.gateways[1];
+    assert_eq!(behind.call(&turn("t0", "p", None, "x")).await.status(), 200);
+    cut.set(true);
+    let mut slow = 0;
+    for number in 0..30 {
+        let begun = tokio::time::Instant::now();
+        let answer = behind.call(&turn(&format!("u{number}"), "q", None, "x")).await;
+        assert_eq!((answer.status(), answer.whole), (200, true));
+        slow += u32::from(begun.elapsed() > Duration::from_millis(300));
+        tokio::time::sleep(Duration::from_millis(60)).await;
+    }
+    assert!(slow <= 2, "{slow} of 30 turns stalled");
+    cut.set(false);
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    assert_eq!(behind.call(&turn("v", "r", None, "x")).await.status(), 200);
+}
+
 /// On a store whose transactions keep to one part, the index is written before the turn it names.
 #[actix_rt::test]
 async fn a_store_without_transactions_over_parts_will_do() {
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -1,6 +1,6 @@
 //! A stand-in of the platform's store: rows, conditions, the feed, and its faults.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,6 +73,26 @@
         address
     }
 
+    /// Serves the same rows at a further address, which falls silent while the switch is on: what an
+    /// instance behind a cut meets, while others go on.
+    pub async fn start_behind_cut(&self, ip: &str) -> (String, Rc<Cell<bool>>) {
+        let cut = Rc::new(Cell::new(false));
+        let listener = TcpListener::bind((ip, 0)).await.expect("a free port");
+        let address = listener.local_addr().expect("it is bound").to_string();
+        let (store, switch) = (self.clone(), cut.clone());
+        let handle = move |request| {
+            let (store, switch) = (store.clone(), switch.clone());
+            async move {
+                if switch.get() {
+                    return vec![Step::Hang];
+                }
+                store.handle(request).await
+            }
+        };
+        actix_rt::spawn(serve(listener, handle));
+        (address, cut)
+    }
+
     pub fn set_fault(&self, fault: StoreFault) {
         self.state.borrow_mut().fault = fault;
     }
