Let turns wait for a store that is away as a whole

Ruled out: running turns whose end waits (nothing durable counts their tokens, and callers leave after 2 s without an event); longer Retry-After (callers take a third of their time left at most). Change: a turn waits up to three eighths of its caller's time and goes on when the store returns; then it is refused with a time to return. Test: a_turn_waits_for_the_store_while_its_caller_has_patience (503 before).

--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -5,7 +5,7 @@
 
 use actix_http::StatusCode;
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
 use super::CallContext;
 use crate::core::ids::{Tokens, UpstreamId};
@@ -24,6 +24,11 @@
 /// seconds; callers wait up to a third of their time, which is 2 s for a turn, and try a few times:
 /// sooner, they would have used up their tries before the store is back.
 const STORE_RETRY: Duration = Duration::from_secs(2);
+/// Part of the caller's time that a turn waits for a store that is away as a whole. Refused at once, a
+/// turn's tries are used up in 4.5 s of an outage and its program is lost; with the wait they last
+/// 9 s, and whoever waits at the return goes on at once. Longer, and a caller that hears nothing
+/// leaves (after 2 s at the least, of the 4 s that it has).
+const OUTAGE_PATIENCE: f64 = 0.375;
 /// Time left to the caller after a reservation is given up.
 const RESERVE_MARGIN: Duration = Duration::from_millis(200);
 
@@ -83,7 +88,7 @@
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
         let peer = self.members.coordinator(program);
         log.coordinator.replace(peer.clone());
-        let claimed = self.turns.claim(peer, claim, limit).await;
+        let claimed = self.claim_through_outage(call, peer, claim, limit).await;
         log.claimed_after.set(Some(call.arrived.elapsed()));
         self.metrics.reserved(match &claimed {
             Ok(_) => "reserved",
@@ -94,6 +99,33 @@
         claimed.map_err(|error| self.claim_refusal(call, program, error))
     }
 
+    /// Claims a turn; if the whole store is away, as soon as it is back, for as long as the caller has
+    /// patience.
+    async fn claim_through_outage(
+        &self,
+        call: &CallContext,
+        peer: Option<Box<str>>,
+        claim: TurnClaim,
+        limit: Instant,
+    ) -> Result<ClaimedTurn, ClaimError> {
+        let time = call.deadline.saturating_duration_since(call.arrived);
+        let patience = call.arrived + time.mul_f64(OUTAGE_PATIENCE);
+        loop {
+            if self.store.outage().is_some()
+                && timeout_at(patience, self.store.reachable()).await.is_err()
+            {
+                return Err(ClaimError::Store(StoreError::Unavailable));
+            }
+            let claimed = self.turns.claim(peer.clone(), claim.clone(), limit).await;
+            let away = matches!(claimed, Err(ClaimError::Store(_)))
+                && self.store.outage().is_some()
+                && Instant::now() < patience;
+            if !away {
+                return claimed;
+            }
+        }
+    }
+
     fn claim_refusal(
         &self,
         call: &CallContext,
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -227,6 +227,29 @@
     .await;
 }
 
+/// The store has been away for a second when a turn comes, and returns a second later. The turn waits
+/// and is then served, once; one that comes to a store that stays away is refused while its caller still
+/// has time for another attempt.
+#[actix_rt::test]
+async fn a_turn_waits_for_the_store_while_its_caller_has_patience() {
+    let deployment = Deployment::start(1, 1).await;
+    deployment.store.set_fault(StoreFault::Busy);
+    assert_eq!(deployment.gateway().call(&turn("t0", "p", None, "x")).await.status(), 503);
+    let address = deployment.gateway().settings.caller_address.clone();
+    let waiting = actix_rt::spawn(async move {
+        platform_standin::call_at(&address, &turn("t1", "p", None, "x")).await
+    });
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.store.set_fault(StoreFault::None);
+    let answer = waiting.await.expect("it ends");
+    assert_eq!((answer.status(), answer.whole), (200, true));
+    assert_eq!(deployment.runs().len(), 1);
+    deployment.store.set_fault(StoreFault::Busy);
+    let begun = tokio::time::Instant::now();
+    assert_eq!(deployment.gateway().call(&turn("t2", "p", None, "x")).await.status(), 503);
+    assert!(begun.elapsed() < Duration::from_millis(2_500), "of the five seconds it has");
+}
+
 /// The reservation's write hangs and takes effect after the caller was refused. The tokens that it
 /// set aside must return, or the program would be told that its budget is spent.
 #[actix_rt::test]
