--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -8,11 +8,11 @@
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
-use super::Gateway;
 use super::call::CallContext;
 use super::dialect::{AnswerHead, AttemptHead};
 use super::http::{AnswerError, UpstreamConnection};
 use super::refusal::Refusal;
+use super::{Gateway, GatewayMechanism};
 use crate::core::ids::UpstreamId;
 use crate::core::routing::RouteKind;
 use crate::core::upstreams::{AttemptResult, ChoiceRequest, UpstreamChoice};
@@ -50,6 +50,9 @@
         let mut upstreams = gateway.news.upstreams.borrow_mut();
         let begun = Instant::now();
         upstreams.started(&choice.id, choice.prefill_ms, begun);
+        if !gateway.settings.uses(GatewayMechanism::SilenceAvoidance) {
+            upstreams.heard(&choice.id, begun);
+        }
         Self {
             gateway: gateway.clone(),
             upstream: choice.id.clone(),
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -11,11 +11,11 @@
 use super::{CallContext, CallEnd};
 use crate::core::ids::UpstreamId;
 use crate::core::upstreams::AttemptResult;
-use crate::gateway::Gateway;
 use crate::gateway::attempt::UpstreamAnswer;
 use crate::gateway::events::EventParser;
 use crate::gateway::http::{AnswerError, CallerWriter};
 use crate::gateway::refusal::Refusal;
+use crate::gateway::{Gateway, GatewayMechanism};
 
 /// Events of a stream whose pace says something about the engine.
 const MIN_PACED_EVENTS: u64 = 4;
@@ -110,13 +110,18 @@
     /// Notes how fast an engine made its events. The time to the first one depends on the prompt,
     /// and that of a plain service on the request; neither tells about the upstream.
     fn note_pace(&self, upstream: &UpstreamId, first_at: Option<Instant>, events: u64) {
-        let Some(first_at) = first_at.filter(|_| events >= MIN_PACED_EVENTS) else { return };
+        let paced = self.settings.uses(GatewayMechanism::PaceAvoidance);
+        let first_at = first_at.filter(|_| paced && events >= MIN_PACED_EVENTS);
+        let Some(first_at) = first_at else { return };
         let millis = first_at.elapsed().as_secs_f64() * 1e3 / (events - 1) as f64;
         self.news.upstreams.borrow_mut().measure(upstream, millis, Instant::now());
     }
 
     /// Notes what the engine's memory now holds.
     fn note_resident(&self, call: &CallContext, upstream: &UpstreamId) {
+        if !self.settings.uses(GatewayMechanism::PromptPlacement) {
+            return;
+        }
         let mut upstreams = self.news.upstreams.borrow_mut();
         for part in &call.head.parts {
             upstreams.note_resident(upstream, &part.part);
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -11,13 +11,13 @@
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
 use crate::core::upstreams::UpstreamChoice;
-use crate::gateway::Gateway;
 use crate::gateway::attempt::{AttemptLog, chain_body};
 use crate::gateway::events::EventParser;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::turns::{
     ClaimError, ClaimedTurn, MAX_NAME_BYTES, TurnChain, TurnClaim, TurnReservation,
 };
+use crate::gateway::{Gateway, GatewayMechanism};
 use crate::node::platform::StoreError;
 
 /// When a caller may come back while the store is away. What lasts longer than a blip lasts for
@@ -86,7 +86,8 @@
             retention: retention + call.deadline.saturating_duration_since(Instant::now()),
         };
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
-        let peer = self.members.coordinator(program);
+        let coordinated = self.settings.uses(GatewayMechanism::Coordinators);
+        let peer = coordinated.then(|| self.members.coordinator(program)).flatten();
         log.coordinator.replace(peer.clone());
         let claimed = self.claim_through_outage(call, peer, claim, limit).await;
         log.claimed_after.set(Some(call.arrived.elapsed()));
@@ -108,6 +109,9 @@
         claim: TurnClaim,
         limit: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
+        if !self.settings.uses(GatewayMechanism::OutageWait) {
+            return self.turns.claim(peer, claim, limit).await;
+        }
         let time = call.deadline.saturating_duration_since(call.arrived);
         let patience = call.arrived + time.mul_f64(OUTAGE_PATIENCE);
         loop {
--- a/src/gateway/committer.rs
+++ b/src/gateway/committer.rs
@@ -46,6 +46,7 @@
 /// Collects transactions and commits them together.
 pub(crate) struct StoreCommitter {
     store: Rc<StoreLink>,
+    holds: bool,
     queue: RefCell<Vec<QueuedCommit>>,
     queued: Notify,
     batches: Cell<u64>,
@@ -56,9 +57,11 @@
 }
 
 impl StoreCommitter {
-    pub(crate) fn new(store: Rc<StoreLink>) -> Self {
+    /// `holds` tells whether what the store refuses for its rate waits for a later batch.
+    pub(crate) fn new(store: Rc<StoreLink>, holds: bool) -> Self {
         Self {
             store,
+            holds,
             queue: RefCell::default(),
             queued: Notify::new(),
             batches: Cell::new(0),
@@ -170,7 +173,9 @@
         self.queued.notify_one();
         match result {
             Ok(CommitReply::Conflict(rows)) => self.divide(batch, &rows),
-            Err(StoreError::Unavailable) if self.store.is_over_rate() => self.requeue(batch),
+            Err(StoreError::Unavailable) if self.holds && self.store.is_over_rate() => {
+                self.requeue(batch);
+            }
             result => {
                 for queued in batch {
                     // Whoever no longer waits has given the request up.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,7 +43,7 @@
 use turns::TurnKeeper;
 
 pub use run::{GatewaySockets, RunningGateway, launch_gateway};
-pub use settings::GatewaySettings;
+pub use settings::{GatewayMechanism, GatewaySettings};
 
 /// One running gateway. All its tasks share it on one thread.
 pub(crate) struct Gateway {
--- a/src/gateway/offer.rs
+++ b/src/gateway/offer.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use super::Gateway;
+use super::{Gateway, GatewayMechanism};
 
 /// How long store calls go by peers before callers are sent elsewhere: longer than a single lost
 /// answer, shorter than callers keep a list of addresses.
@@ -41,7 +41,8 @@
     /// whoever can choose is better served where the store answers. While the whole store is away,
     /// all instances are alike, and none withdraws.
     pub(crate) fn update_offer(&self) {
-        let relayed = self.store.relayed();
+        let withdraws = self.settings.uses(GatewayMechanism::OfferWithdrawal);
+        let relayed = self.store.relayed().filter(|_| withdraws);
         match self.offer.state.get() {
             _ if self.is_draining() => {}
             OfferState::Silent if self.is_ready() => {
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -19,7 +19,7 @@
 use super::metrics::GatewayMetrics;
 use super::offer::CallerOffer;
 use super::server::serve_callers;
-use super::settings::GatewaySettings;
+use super::settings::{GatewayMechanism, GatewaySettings};
 use super::stop::StopState;
 use super::store::StoreLink;
 use super::sweep::ProgramSweeper;
@@ -109,10 +109,13 @@
     let meter = metrics.store_meter();
     let store = Rc::new(StoreLink::new(address, pool.clone(), dialect.clone(), across, meter));
     let members = Rc::new(MemberView::new(&settings, sockets.gossip, seed));
-    store.set_peers(members.clone());
+    if settings.uses(GatewayMechanism::Relays) {
+        store.set_peers(members.clone());
+    }
     let news = Rc::new(StoreNews::new(store.clone(), pool.clone(), dialect.clone()));
     let cache_bytes = settings.cache_bytes();
-    let committer = Rc::new(StoreCommitter::new(store.clone()));
+    let committer =
+        Rc::new(StoreCommitter::new(store.clone(), settings.uses(GatewayMechanism::RateHold)));
     actix_rt::spawn(committer.clone().run());
     actix_rt::spawn(store.clone().watch());
     let row_bytes = settings.store_row_bytes;
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of a gateway: JSON, read and checked before anything starts and again on SIGHUP.
 
+use std::collections::BTreeSet;
 use std::fs;
 use std::path::Path;
 use std::time::Duration;
@@ -42,6 +43,31 @@
     pub grace_seconds: f64,
     /// Longest time callers keep a list of addresses, in seconds.
     pub address_keep_seconds: f64,
+    /// Mechanisms to do without, to measure what they are worth; none in service.
+    #[serde(default)]
+    pub without: BTreeSet<GatewayMechanism>,
+}
+
+/// A mechanism that serves callers better and that no promise rests on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum GatewayMechanism {
+    /// One instance of a zone claims, keeps and settles a program's turns for the others.
+    Coordinators,
+    /// Callers are sent elsewhere while only peers reach the store.
+    OfferWithdrawal,
+    /// Turns wait for a store that is away as a whole.
+    OutageWait,
+    /// Writes refused for the store's rate wait for a later batch.
+    RateHold,
+    /// Peers make store calls for an instance that is cut off.
+    Relays,
+    /// Engines that leave requests without a word are avoided.
+    SilenceAvoidance,
+    /// Engines whose events come slowly are avoided.
+    PaceAvoidance,
+    /// Prompts go where their parts have been read.
+    PromptPlacement,
 }
 
 /// Least a row must hold: a turn is cut into rows of this size.
@@ -112,6 +138,11 @@
         format!("{host}:{}", self.gossip_port).into()
     }
 
+    /// Whether a mechanism is in use.
+    pub(crate) fn uses(&self, mechanism: GatewayMechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.grace_seconds)
     }
