Turn new programs away while engines have far more than they can do

Cause: every turn was sent on until engines refused. Change: while first words come later than those without a queue by more than the objective, first turns are turned away at arrival, the least urgent first, by a hash of the program, with the time at which its turn comes; programs under way never. Tests: admission_gate.rs, among them a replay at 1, 1.5 and 2 times the capacity (goodput above 0.85 of the full one; without the gate below 0.4).

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions without input or output: each module takes messages and the time and returns values.
 
+pub mod admission;
 pub mod budget;
 pub mod cache;
 pub mod config;
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -15,6 +15,7 @@
 use super::{Gateway, GatewayMechanism};
 use crate::core::ids::UpstreamId;
 use crate::core::routing::RouteKind;
+use crate::core::routing::ServiceName;
 use crate::core::upstreams::{AttemptResult, ChoiceRequest, UpstreamChoice};
 
 /// Upstreams that may refuse one request, unrun, before it is refused itself.
@@ -42,11 +43,16 @@
     gateway: Rc<Gateway>,
     upstream: UpstreamId,
     begun: Instant,
+    service: ServiceName,
+    objective: Duration,
+    /// Time the upstream was expected to read the prompt, in milliseconds; 0 without one.
+    prefill_ms: f64,
+    heard: Cell<bool>,
     result: Cell<AttemptResult>,
 }
 
 impl AttemptGuard {
-    fn new(gateway: &Rc<Gateway>, choice: &UpstreamChoice) -> Self {
+    fn new(gateway: &Rc<Gateway>, call: &CallContext, choice: &UpstreamChoice) -> Self {
         let mut upstreams = gateway.news.upstreams.borrow_mut();
         let begun = Instant::now();
         upstreams.started(&choice.id, choice.prefill_ms, begun);
@@ -57,6 +63,10 @@
             gateway: gateway.clone(),
             upstream: choice.id.clone(),
             begun,
+            service: call.service.clone(),
+            objective: call.route.objective,
+            prefill_ms: choice.prefill_ms,
+            heard: Cell::new(false),
             result: Cell::new(AttemptResult::Abandoned),
         }
     }
@@ -64,6 +74,17 @@
     /// Notes that the first bytes of the answer's body came.
     pub(crate) fn heard(&self) {
         self.gateway.news.upstreams.borrow_mut().heard(&self.upstream, self.begun);
+        self.note_wait();
+    }
+
+    /// Tells the gate how long a prompt waited for its first word.
+    fn note_wait(&self) {
+        if self.heard.replace(true) || self.prefill_ms <= 0.0 {
+            return;
+        }
+        let waited = self.begun.elapsed().as_secs_f64() * 1e3 - self.prefill_ms;
+        let mut gate = self.gateway.gate.borrow_mut();
+        gate.note_wait(&self.service, waited.max(0.0), self.objective, Instant::now());
     }
 
     pub(crate) fn record(&self, result: AttemptResult) {
@@ -73,6 +94,10 @@
 
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
+        // Whoever left unheard has waited so long at the least.
+        if self.result.get() == AttemptResult::Abandoned {
+            self.note_wait();
+        }
         let mut upstreams = self.gateway.news.upstreams.borrow_mut();
         upstreams.ended(&self.upstream, self.begun, self.result.get(), Instant::now());
     }
@@ -197,7 +222,7 @@
         choice: &UpstreamChoice,
         log: &AttemptLog,
     ) -> Result<UpstreamAnswer, AttemptError> {
-        let guard = AttemptGuard::new(self, choice);
+        let guard = AttemptGuard::new(self, call, choice);
         let connection = self.pool.get(&choice.address).await;
         let mut connection = connection.map_err(|error| {
             log::debug!("event=connect_failed upstream={} error=\"{error}\"", choice.id);
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::CallContext;
+use crate::core::admission::{AdmissionReply, AdmissionRequest};
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
 use crate::core::upstreams::UpstreamChoice;
@@ -53,6 +54,9 @@
         if call.id.len() > MAX_NAME_BYTES || program.len() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
+        if call.head.previous.is_none() {
+            self.admit(call, &program)?;
+        }
         let ClaimedTurn { chain, reservation } = self.claim_turn(call, &program, log).await?;
         let input = call.body.clone();
         call.holder = self.chain_holder(&chain);
@@ -61,6 +65,33 @@
         Ok(TurnWork { previous, origin: chain.origin, input, reservation })
     }
 
+    /// Lets a program's first turn in, or turns it away while engines have far more than they can do.
+    fn admit(&self, call: &CallContext, program: &ProgramName) -> Result<(), Refusal> {
+        if !self.settings.uses(GatewayMechanism::AdmissionGate) {
+            return Ok(());
+        }
+        let request = AdmissionRequest {
+            service: &call.service,
+            program,
+            priority: call.route.priority,
+            now: Instant::now(),
+        };
+        let reply = self.gate.borrow_mut().admit(&request);
+        let AdmissionReply::TurnedAway { retry_after, share, excess } = reply else {
+            return Ok(());
+        };
+        log::info!(
+            "event=turn_turned_away request={} program={program} service={} priority={} \
+             share={share:.2} excess_ms={} retry_ms={}",
+            call.id,
+            call.service,
+            call.route.priority,
+            excess.as_millis(),
+            retry_after.as_millis()
+        );
+        Err(Refusal::not_run("engines_overloaded", retry_after))
+    }
+
     /// The engine that holds the chain, unless it has started anew since.
     fn chain_holder(&self, chain: &TurnChain) -> Option<UpstreamId> {
         let last = chain.turns.last()?;
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -25,12 +25,13 @@
 mod sync;
 mod turns;
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::core::admission::AdmissionGate;
 use committer::StoreCommitter;
 use dialect::GatewayDialect;
 use http::ConnectionPool;
@@ -58,6 +59,8 @@
     pub(crate) metrics: GatewayMetrics,
     pub(crate) stop: StopState,
     pub(crate) offer: CallerOffer,
+    /// Which new programs are let in.
+    pub(crate) gate: RefCell<AdmissionGate>,
     pub(crate) open_calls: Cell<u32>,
     pub(crate) calls_ended: Notify,
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -1,6 +1,6 @@
 //! Puts a gateway on its sockets and runs its tasks.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::path::Path;
 use std::rc::Rc;
@@ -133,6 +133,7 @@
         members: members.clone(),
         stop: StopState::default(),
         offer: CallerOffer::default(),
+        gate: RefCell::default(),
         open_calls: Cell::new(0),
         calls_ended: Notify::new(),
     });
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -52,6 +52,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum GatewayMechanism {
+    /// New programs are turned away while engines have far more work than they can do.
+    AdmissionGate,
     /// One instance of a zone claims, keeps and settles a program's turns for the others.
     Coordinators,
     /// Callers are sent elsewhere while only peers reach the store.
--- /dev/null
+++ b/tests/admission_gate.rs
@@ -0,0 +1,156 @@
+//! Which new programs are let in while engines have more work than they can do.
+
+use std::time::Duration;
+
+use merlinsaddle::core::admission::{AdmissionGate, AdmissionReply, AdmissionRequest};
+use tokio::time::Instant;
+
+const OBJECTIVE: Duration = Duration::from_millis(250);
+/// How long a caller waits for a first word before it leaves.
+const PATIENCE_MS: f64 = 2_000.0;
+/// Turns of one program, each taking an engine's place for so long.
+const TURNS: u32 = 4;
+const WORK_MS: f64 = 250.0;
+const PLACES: usize = 16;
+
+fn request(program: &str, priority: u8, now: Instant) -> AdmissionRequest<'_> {
+    AdmissionRequest { service: "llm", program, priority, now }
+}
+
+fn share_let_in(gate: &mut AdmissionGate, priority: u8, now: Instant) -> f64 {
+    let admitted = (0..400)
+        .filter(|number| {
+            let program = format!("p{number}");
+            gate.admit(&request(&program, priority, now)) == AdmissionReply::Admitted
+        })
+        .count();
+    admitted as f64 / 400.0
+}
+
+/// Waits that stay so long for a while, 14 a second.
+async fn wait_for(gate: &mut AdmissionGate, millis: f64, seconds: u64) {
+    for _ in 0..seconds * 14 {
+        tokio::time::advance(Duration::from_millis(71)).await;
+        gate.note_wait("llm", millis, OBJECTIVE, Instant::now());
+    }
+}
+
+/// Engines are slow by nature, without a queue: nothing is turned away, whatever a first word takes.
+#[tokio::test(start_paused = true)]
+async fn slow_engines_alone_turn_nobody_away() {
+    let mut gate = AdmissionGate::default();
+    wait_for(&mut gate, 900.0, 10).await;
+    assert_eq!(share_let_in(&mut gate, 1, Instant::now()), 1.0);
+}
+
+/// A queue grows. The least urgent first turns are cut first, the urgent only after them, and a few of
+/// each are always let in; when the queue has gone, all are again.
+#[tokio::test(start_paused = true)]
+async fn the_least_urgent_are_turned_away_first() {
+    let mut gate = AdmissionGate::default();
+    wait_for(&mut gate, 20.0, 5).await;
+    let present = |gate: &mut AdmissionGate| {
+        (share_let_in(gate, 0, Instant::now()), share_let_in(gate, 1, Instant::now()))
+    };
+    assert_eq!(present(&mut gate), (1.0, 1.0));
+    let mut cut = 0;
+    for _ in 0..20 {
+        tokio::time::advance(Duration::from_millis(71)).await;
+        gate.note_wait("llm", 1_200.0, OBJECTIVE, Instant::now());
+        let (urgent, other) = present(&mut gate);
+        assert!(
+            urgent == 1.0 || other < 0.2,
+            "the urgent are cut before the others: {urgent} {other}"
+        );
+        cut += u32::from(urgent == 1.0 && other < 1.0);
+    }
+    assert!(cut > 3, "the others alone are cut for a while");
+    wait_for(&mut gate, 1_200.0, 4).await;
+    let (urgent, other) = present(&mut gate);
+    assert!(urgent < 0.5 && other < 0.25 && other > 0.05, "{urgent} {other}");
+    wait_for(&mut gate, 20.0, 10).await;
+    assert_eq!(present(&mut gate), (1.0, 1.0));
+}
+
+/// A caller that is turned away comes back at once, six times. Its program gets the same answer while
+/// the load is the same, and a time to return that its place in the order needs.
+#[tokio::test(start_paused = true)]
+async fn all_attempts_of_a_program_get_one_answer() {
+    let mut gate = AdmissionGate::default();
+    wait_for(&mut gate, 20.0, 5).await;
+    wait_for(&mut gate, 1_200.0, 3).await;
+    for number in 0..50 {
+        let program = format!("p{number}");
+        let first = gate.admit(&request(&program, 1, Instant::now()));
+        for _ in 0..5 {
+            assert_eq!(gate.admit(&request(&program, 1, Instant::now())), first);
+        }
+        if let AdmissionReply::TurnedAway { retry_after, .. } = first {
+            assert!(retry_after >= Duration::from_millis(300));
+            assert!(retry_after <= Duration::from_secs(5));
+        }
+    }
+}
+
+/// Replays programs on engines that take work in the order in which it comes, and whose callers leave
+/// after two seconds without a word; the work is done all the same. Programs that ended, a second.
+fn goodput(overload: f64, gate: Option<&mut AdmissionGate>, start: Instant) -> f64 {
+    const SECONDS: f64 = 40.0;
+    let mut gate = gate;
+    let capacity = PLACES as f64 * 1_000.0 / (WORK_MS * f64::from(TURNS));
+    let pace_ms = 1_000.0 / (capacity * overload);
+    // When each place is free, and the turns to come: time, program, turns left.
+    let mut free = vec![0.0_f64; PLACES];
+    let mut due: std::collections::BTreeMap<(u64, u64), u32> = std::collections::BTreeMap::new();
+    for number in 0..(SECONDS * 1_000.0 / pace_ms) as u64 {
+        due.insert(((number as f64 * pace_ms * 1_000.0) as u64, number), TURNS);
+    }
+    // First words that are still to be heard of, by time in microseconds.
+    let mut words: std::collections::BTreeMap<(u64, u64), f64> = std::collections::BTreeMap::new();
+    let mut ended = 0_u32;
+    while let Some(((micros, program), left)) = due.pop_first() {
+        let now_ms = micros as f64 / 1_000.0;
+        let now = start + Duration::from_micros(micros);
+        if let Some(gate) = gate.as_deref_mut() {
+            while words.first_key_value().is_some_and(|((at, _), _)| *at <= micros) {
+                let ((at, _), waited) = words.pop_first().expect("there is one");
+                gate.note_wait("llm", waited, OBJECTIVE, start + Duration::from_micros(at));
+            }
+            let name = format!("p{program}");
+            let newcomer = left == TURNS;
+            if newcomer && gate.admit(&request(&name, 1, now)) != AdmissionReply::Admitted {
+                continue;
+            }
+        }
+        let place = (0..PLACES).min_by(|a, b| free[*a].total_cmp(&free[*b])).expect("places");
+        let begins = free[place].max(now_ms);
+        free[place] = begins + WORK_MS;
+        let waited = begins - now_ms;
+        let heard = now_ms + waited.min(PATIENCE_MS);
+        words.insert(((heard * 1_000.0) as u64, program), waited.min(PATIENCE_MS));
+        if waited > PATIENCE_MS {
+            continue;
+        }
+        match left {
+            1 => ended += 1,
+            _ => drop(due.insert((((begins + WORK_MS) * 1_000.0) as u64, program), left - 1)),
+        }
+    }
+    f64::from(ended) / SECONDS
+}
+
+/// Programs come at the pace that engines can just do, at one and a half times and at twice that, for
+/// 40 seconds. Without a gate the queue outgrows the callers' patience and engines work for nobody;
+/// with it, twice the load brings what the whole capacity did.
+#[tokio::test(start_paused = true)]
+async fn goodput_holds_at_twice_the_capacity() {
+    let start = Instant::now();
+    let gated = |overload| goodput(overload, Some(&mut AdmissionGate::default()), start);
+    let full = goodput(1.0, None, start);
+    let without = goodput(2.0, None, start);
+    assert!(without < 0.4 * full, "without a gate: {without:.1} of {full:.1}");
+    for overload in [1.0, 1.5, 2.0] {
+        let with = gated(overload);
+        assert!(with > 0.85 * full, "at {overload}: {with:.1} of {full:.1}, without {without:.1}");
+    }
+}
