--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -10,14 +10,15 @@
 
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
-use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::claim::{ClaimError, ClaimedTurn, TurnClaim};
-use super::{TurnChain, TurnKeeper};
+use super::messages::{ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
+use super::{SETTLE_PATIENCE, TurnChain, TurnKeeper};
 use crate::core::ids::Tokens;
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
 use crate::gateway::http::ExchangeError;
+use crate::node::platform::StoreError;
 use crate::util::framed::{frame, unframe};
 
 /// Paths on the address for peers.
@@ -36,48 +37,6 @@
 /// whether it is gone, and each claim that still tries waits in vain.
 const PASSED_OVER: Duration = Duration::from_millis(800);
 
-/// A claim on its way to a coordinator.
-#[derive(Debug, Serialize, Deserialize)]
-struct ClaimRequest {
-    claim: TurnClaim,
-    /// Whether the sender has the chain.
-    knows_chain: bool,
-    limit_ms: u64,
-}
-
-/// One turn of a chain in a reply; the records follow the head one after another.
-#[derive(Debug, Serialize, Deserialize)]
-struct ChainTurn {
-    turn: TurnId,
-    program: ProgramName,
-    bytes: usize,
-}
-
-/// What became of a claim.
-#[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-enum ClaimReply {
-    Granted { chain: Vec<ChainTurn> },
-    NoSuchTurn,
-    Exhausted { committed: Tokens },
-}
-
-/// A finished turn on its way to a coordinator; its record follows.
-#[derive(Debug, Serialize, Deserialize)]
-struct KeepRequest {
-    program: ProgramName,
-    turn: TurnId,
-    limit_ms: u64,
-}
-
-/// What a turn that broke off has used.
-#[derive(Debug, Serialize, Deserialize)]
-struct SettleRequest {
-    program: ProgramName,
-    turn: TurnId,
-    used: Tokens,
-}
-
 /// What is known of coordinators as peers.
 #[derive(Debug, Default)]
 pub(super) struct CoordinatorHealth {
@@ -130,9 +89,7 @@
         // It goes on if the caller leaves meanwhile; what it was granted is then given back.
         let keeper = self.clone();
         let asked = actix_rt::spawn(async move { keeper.claim_by(&peer, &claim, limit).await });
-        asked
-            .await
-            .unwrap_or(Err(ClaimError::Store(crate::node::platform::StoreError::Unavailable)))
+        asked.await.unwrap_or(Err(ClaimError::Store(StoreError::Unavailable)))
     }
 
     async fn claim_by(
@@ -237,7 +194,7 @@
         let request =
             KeepRequest { program: program.clone(), turn: turn.clone(), limit_ms: left_ms(limit) };
         let body = frame(&request, &[&record.encode()]);
-        let answer = self.ask(peer, KEEP_PATH, body, super::SETTLE_PATIENCE).await;
+        let answer = self.ask(peer, KEEP_PATH, body, SETTLE_PATIENCE).await;
         matches!(answer, Ok((StatusCode::OK, _)))
     }
 
@@ -250,82 +207,7 @@
         used: Tokens,
     ) -> bool {
         let request = SettleRequest { program: program.clone(), turn: turn.clone(), used };
-        let answer =
-            self.ask(peer, SETTLE_PATH, frame(&request, &[]), super::SETTLE_PATIENCE).await;
+        let answer = self.ask(peer, SETTLE_PATH, frame(&request, &[]), SETTLE_PATIENCE).await;
         matches!(answer, Ok((StatusCode::OK, _)))
     }
-
-    /// Claims a turn for a peer; none if the peer must do it itself.
-    ///
-    /// The reservation is the peer's from here on. It is not taken back when the peer has gone: the
-    /// peer may have claimed the turn another way and be running it under this reservation.
-    async fn claim_for(self: &Rc<Self>, request: &ClaimRequest) -> Option<Bytes> {
-        let claim = &request.claim;
-        let limit = Instant::now() + Duration::from_millis(request.limit_ms);
-        let reply = match self.claim_here(claim, limit, false).await {
-            Ok(claimed) => {
-                claimed.reservation.hand_over();
-                let known = if request.knows_chain { &[][..] } else { &claimed.chain.turns[..] };
-                return Some(self.granted(claim, known));
-            }
-            Err(ClaimError::NoSuchTurn) => ClaimReply::NoSuchTurn,
-            Err(ClaimError::Exhausted { committed }) => ClaimReply::Exhausted { committed },
-            Err(ClaimError::Store(_)) => return None,
-        };
-        Some(frame(&reply, &[]))
-    }
-
-    /// The reply with a chain, whose last turn is the claim's previous one.
-    fn granted(&self, claim: &TurnClaim, records: &[Rc<TurnRecord>]) -> Bytes {
-        let cache = self.cache.borrow();
-        let encoded: Vec<Bytes> = records.iter().map(|record| record.encode()).collect();
-        let mut chain = Vec::new();
-        let mut next = claim.previous.clone();
-        for (record, bytes) in records.iter().zip(&encoded).rev() {
-            let Some(turn) = next else { break };
-            let program = cache.program_of(&turn).unwrap_or_else(|| claim.program.clone());
-            next = record.previous.clone();
-            chain.push(ChainTurn { turn, program, bytes: bytes.len() });
-        }
-        chain.reverse();
-        let parts: Vec<&[u8]> = encoded.iter().map(|record| &record[..]).collect();
-        frame(&ClaimReply::Granted { chain }, &parts)
-    }
-
-    /// Does a peer's work: the reply's status and body. It goes on if the peer leaves meanwhile.
-    pub(crate) async fn serve_peer(
-        self: &Rc<Self>,
-        path: &str,
-        body: Bytes,
-    ) -> (StatusCode, Bytes) {
-        let (keeper, path) = (self.clone(), Box::<str>::from(path));
-        let work = actix_rt::spawn(async move { keeper.work_for_peer(&path, &body).await });
-        let failed = (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
-        work.await.unwrap_or(failed)
-    }
-
-    async fn work_for_peer(self: &Rc<Self>, path: &str, body: &Bytes) -> (StatusCode, Bytes) {
-        let malformed = (StatusCode::BAD_REQUEST, Bytes::new());
-        let unable = (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
-        if path == CLAIM_PATH {
-            let Ok((request, _)) = unframe::<ClaimRequest>(body) else { return malformed };
-            return match self.claim_for(&request).await {
-                Some(reply) => (StatusCode::OK, reply),
-                None => unable,
-            };
-        }
-        if path == SETTLE_PATH {
-            let Ok((request, _)) = unframe::<SettleRequest>(body) else { return malformed };
-            let limit = Instant::now() + super::BACKGROUND_LIMIT;
-            self.settle(&request.program, &request.turn, request.used, limit).await;
-            return (StatusCode::OK, Bytes::new());
-        }
-        let Ok((request, record)) = unframe::<KeepRequest>(body) else { return malformed };
-        let Ok(record) = TurnRecord::decode(record) else { return malformed };
-        let limit = Instant::now() + Duration::from_millis(request.limit_ms);
-        match self.record(&request.program, &request.turn, record, limit).await {
-            true => (StatusCode::OK, Bytes::new()),
-            false => unable,
-        }
-    }
 }
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -3,8 +3,10 @@
 mod chain;
 mod claim;
 mod coordinate;
+mod messages;
 mod reserve;
 mod rows;
+mod serve;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
--- /dev/null
+++ b/src/gateway/turns/serve.rs
@@ -0,0 +1,90 @@
+//! Turns that this instance claims, keeps and settles for its peers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::claim::{ClaimError, TurnClaim};
+use super::messages::{ChainTurn, ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
+use super::{BACKGROUND_LIMIT, CLAIM_PATH, SETTLE_PATH, TurnKeeper};
+use crate::core::turns::TurnRecord;
+use crate::util::framed::{frame, unframe};
+
+impl TurnKeeper {
+    /// Claims a turn for a peer; none if the peer must do it itself.
+    ///
+    /// The reservation is the peer's from here on. It is not taken back when the peer has gone: the
+    /// peer may have claimed the turn another way and be running it under this reservation.
+    async fn claim_for(self: &Rc<Self>, request: &ClaimRequest) -> Option<Bytes> {
+        let claim = &request.claim;
+        let limit = Instant::now() + Duration::from_millis(request.limit_ms);
+        let reply = match self.claim_here(claim, limit, false).await {
+            Ok(claimed) => {
+                claimed.reservation.hand_over();
+                let known = if request.knows_chain { &[][..] } else { &claimed.chain.turns[..] };
+                return Some(self.granted(claim, known));
+            }
+            Err(ClaimError::NoSuchTurn) => ClaimReply::NoSuchTurn,
+            Err(ClaimError::Exhausted { committed }) => ClaimReply::Exhausted { committed },
+            Err(ClaimError::Store(_)) => return None,
+        };
+        Some(frame(&reply, &[]))
+    }
+
+    /// The reply with a chain, whose last turn is the claim's previous one.
+    fn granted(&self, claim: &TurnClaim, records: &[Rc<TurnRecord>]) -> Bytes {
+        let cache = self.cache.borrow();
+        let encoded: Vec<Bytes> = records.iter().map(|record| record.encode()).collect();
+        let mut chain = Vec::new();
+        let mut next = claim.previous.clone();
+        for (record, bytes) in records.iter().zip(&encoded).rev() {
+            let Some(turn) = next else { break };
+            let program = cache.program_of(&turn).unwrap_or_else(|| claim.program.clone());
+            next = record.previous.clone();
+            chain.push(ChainTurn { turn, program, bytes: bytes.len() });
+        }
+        chain.reverse();
+        let parts: Vec<&[u8]> = encoded.iter().map(|record| &record[..]).collect();
+        frame(&ClaimReply::Granted { chain }, &parts)
+    }
+
+    /// Does a peer's work: the reply's status and body. It goes on if the peer leaves meanwhile.
+    pub(crate) async fn serve_peer(
+        self: &Rc<Self>,
+        path: &str,
+        body: Bytes,
+    ) -> (StatusCode, Bytes) {
+        let (keeper, path) = (self.clone(), Box::<str>::from(path));
+        let work = actix_rt::spawn(async move { keeper.work_for_peer(&path, &body).await });
+        let failed = (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new());
+        work.await.unwrap_or(failed)
+    }
+
+    async fn work_for_peer(self: &Rc<Self>, path: &str, body: &Bytes) -> (StatusCode, Bytes) {
+        let malformed = (StatusCode::BAD_REQUEST, Bytes::new());
+        let unable = (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        if path == CLAIM_PATH {
+            let Ok((request, _)) = unframe::<ClaimRequest>(body) else { return malformed };
+            return match self.claim_for(&request).await {
+                Some(reply) => (StatusCode::OK, reply),
+                None => unable,
+            };
+        }
+        if path == SETTLE_PATH {
+            let Ok((request, _)) = unframe::<SettleRequest>(body) else { return malformed };
+            let limit = Instant::now() + BACKGROUND_LIMIT;
+            self.settle(&request.program, &request.turn, request.used, limit).await;
+            return (StatusCode::OK, Bytes::new());
+        }
+        let Ok((request, record)) = unframe::<KeepRequest>(body) else { return malformed };
+        let Ok(record) = TurnRecord::decode(record) else { return malformed };
+        let limit = Instant::now() + Duration::from_millis(request.limit_ms);
+        match self.record(&request.program, &request.turn, record, limit).await {
+            true => (StatusCode::OK, Bytes::new()),
+            false => unable,
+        }
+    }
+}
--- a/tests/admission_gate.rs
+++ b/tests/admission_gate.rs
@@ -100,7 +100,7 @@
     let capacity = PLACES as f64 * 1_000.0 / (WORK_MS * f64::from(TURNS));
     let pace_ms = 1_000.0 / (capacity * overload);
     // When each place is free, and the turns to come: time, program, turns left.
-    let mut free = vec![0.0_f64; PLACES];
+    let mut free = [0.0_f64; PLACES];
     let mut due: std::collections::BTreeMap<(u64, u64), u32> = std::collections::BTreeMap::new();
     for number in 0..(SECONDS * 1_000.0 / pace_ms) as u64 {
         due.insert(((number as f64 * pace_ms * 1_000.0) as u64, number), TURNS);
--- a/tests/gateway_news.rs
+++ b/tests/gateway_news.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use merlinsaddle::gateway::GatewaySettings;
 use platform_standin::engine::{EngineAct, StandinEngine};
 use platform_standin::store::{StandinStore, StoreFault};
 use platform_standin::{
@@ -220,3 +221,20 @@
     assert_eq!((streamed.status(), streamed.whole), (200, true));
     assert!(deployment.gateways[1].join().await, "nothing was cut off");
 }
+
+/// An operator misspells a mechanism to do without: the settings are refused, and the error names it.
+#[test]
+fn an_unknown_mechanism_is_refused_by_name() {
+    let text = |without: &str| {
+        format!(
+            r#"{{"instance": "a", "zone": "z", "region": "r", "caller_address": "127.0.0.1:0",
+            "ready_address": "127.0.0.1:0", "directory_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0", "gossip_port": 1, "store_address": "127.0.0.1:1",
+            "store_row_bytes": 65536, "memory_mb": 130, "grace_seconds": 8,
+            "address_keep_seconds": 1, "without": {without}}}"#
+        )
+    };
+    assert!(GatewaySettings::parse(&text(r#"["coordinators", "relays"]"#)).is_ok());
+    let error = GatewaySettings::parse(&text(r#"["coordinator"]"#)).expect_err("it is unknown");
+    assert!(error.to_string().contains("`coordinator`"), "{error}");
+}
