Do not take a refused second try for the end of a first that may still land

Cause: found by reading. When the first try of a write hangs and the second, sent another way, is refused for the store's rate, the call ended as 'nothing was done'. The first may still take effect; a reservation given up after that stayed in the ledger, and the program was told too early that its budget was spent (402). Change: after such a refusal no further way is tried, but those under way are waited for. Test: a_refused_second_try_does_not_hide_a_late_first (402 for 20 s before; passes after).

--- a/src/gateway/store/mod.rs
+++ b/src/gateway/store/mod.rs
@@ -244,9 +244,10 @@
                             return Ok(answer);
                         }
                         // Every other way ends at the same rate: each refused call came back up to
-                        // four times, and 3,000 calls a second became 5,000.
+                        // four times, and 3,000 calls a second became 5,000. What is under way may
+                        // still take effect.
                         Err(StoreError::Unavailable) if direct && self.is_over_rate() => {
-                            return Err(StoreError::Unavailable);
+                            ways = Vec::new().into_iter();
                         }
                         // What may have taken effect outweighs what has not.
                         Err(StoreError::Unavailable) => {}
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -270,6 +270,32 @@
     assert_eq!(deployment.runs().len(), 1);
 }
 
+/// The reservation's write hangs, its second try is refused for the store's rate, and the first takes
+/// effect after the caller was refused. A refused try says nothing of the one before it: the tokens must
+/// return all the same.
+#[actix_rt::test]
+async fn a_refused_second_try_does_not_hide_a_late_first() {
+    let deployment = Deployment::start(1, 1).await;
+    let late = Duration::from_millis(1_600);
+    deployment.store.set_fault(StoreFault::LateWrites(1, late));
+    let address = deployment.gateway().settings.caller_address.clone();
+    let call = actix_rt::spawn(async move {
+        platform_standin::call_at(&address, &budgeted_turn("t1", "p", None, "x", 6)).await
+    });
+    wait_until("the write is on its way", async || deployment.store.fault() == StoreFault::None)
+        .await;
+    deployment.store.set_fault(StoreFault::OverRate(10_000));
+    assert_eq!(call.await.expect("it ends").status(), 503);
+    deployment.store.set_fault(StoreFault::None);
+    tokio::time::sleep(late).await;
+    wait_until("the whole budget is there again", async || {
+        let request = budgeted_turn("t2", "p", None, "x", 6);
+        deployment.gateway().call(&request).await.status() == 200
+    })
+    .await;
+    assert_eq!(deployment.runs().len(), 1);
+}
+
 /// The caller leaves while the reservation's write is on its way, and the write takes effect later. The
 /// turn never runs; its tokens must return, or the program's next turn would be refused for good.
 #[actix_rt::test]
