Leave it to the peer to take back a reservation made for it

Cause: found by reading. A coordinator that gave a peer's claim up in doubt took the reservation back in the background, while the peer claimed the turn another way, found that very reservation and ran under it; once taken back, the turn's record settles nothing, and its tokens are counted nowhere. Ruled out: a peer that times out (its coordinator keeps what it granted) and one whose connection was refused (nothing stands). Change: the source of a claim says who takes back; for a peer it is the peer.

--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -28,6 +28,18 @@
     pub(crate) retention: Duration,
 }
 
+/// For whom a turn is claimed, which decides who takes back a reservation that may stand unseen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ClaimSource {
+    /// This instance.
+    Own,
+    /// This instance, after a coordinator whose reservation may take effect unseen.
+    TakenOver,
+    /// A peer, which may claim the turn another way and run it under this very reservation: taken back
+    /// here, the running turn's tokens would be counted nowhere.
+    Peer,
+}
+
 /// A turn that may run.
 pub(crate) struct ClaimedTurn {
     pub(crate) chain: TurnChain,
@@ -58,20 +70,18 @@
 impl TurnKeeper {
     /// Reads what a turn continues from and sets its tokens aside, anew if the program has expired
     /// since it was seen here.
-    ///
-    /// `doubtful` says that a reservation of this turn by a peer may take effect unseen.
     pub(super) async fn claim_here(
         self: &Rc<Self>,
         claim: &TurnClaim,
         limit: Instant,
-        doubtful: bool,
+        source: ClaimSource,
     ) -> Result<ClaimedTurn, ClaimError> {
         for _ in 0..CLAIM_TRIES {
             let chain = match &claim.previous {
                 Some(previous) => self.chain(&claim.program, previous).await?,
                 None => TurnChain::default(),
             };
-            match self.reserve_with_origins(claim, &chain, limit, doubtful).await {
+            match self.reserve_with_origins(claim, &chain, limit, source).await {
                 Ok(reservation) => return Ok(ClaimedTurn { chain, reservation }),
                 Err(ReserveError::Expired) => {}
                 Err(ReserveError::Exhausted { committed }) => {
@@ -88,11 +98,11 @@
         claim: &TurnClaim,
         chain: &TurnChain,
         limit: Instant,
-        doubtful: bool,
+        source: ClaimSource,
     ) -> Result<TurnReservation, ReserveError> {
         for origin in chain.origins() {
             self.keep(&origin, claim.retention, limit).await?;
         }
-        self.reserve(claim, limit, doubtful).await
+        self.reserve(claim, limit, source).await
     }
 }
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use super::claim::{ClaimError, ClaimedTurn, TurnClaim};
+use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
 use super::messages::{ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
 use super::{SETTLE_PATIENCE, TurnChain, TurnKeeper};
 use crate::core::ids::Tokens;
@@ -85,7 +85,9 @@
         limit: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
         let peer = peer.filter(|peer| !self.coordinators.borrow_mut().is_passed_over(peer));
-        let Some(peer) = peer else { return self.claim_here(&claim, limit, false).await };
+        let Some(peer) = peer else {
+            return self.claim_here(&claim, limit, ClaimSource::Own).await;
+        };
         // It goes on if the caller leaves meanwhile; what it was granted is then given back.
         let keeper = self.clone();
         let asked = actix_rt::spawn(async move { keeper.claim_by(&peer, &claim, limit).await });
@@ -100,17 +102,16 @@
     ) -> Result<ClaimedTurn, ClaimError> {
         let knows_chain = claim.previous.as_ref().is_none_or(|turn| self.has_chain(turn));
         let request = ClaimRequest { claim: claim.clone(), knows_chain, limit_ms: left_ms(limit) };
-        let doubtful = match self.ask(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await
-        {
+        let source = match self.ask(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await {
             Ok((StatusCode::OK, body)) => match self.take_claim(peer, claim, &body).await {
                 Some(result) => return result,
-                None => true,
+                None => ClaimSource::TakenOver,
             },
-            Ok(_) | Err(PeerFailure::Unknown) => true,
-            Err(PeerFailure::NotSent) => false,
+            Ok(_) | Err(PeerFailure::Unknown) => ClaimSource::TakenOver,
+            Err(PeerFailure::NotSent) => ClaimSource::Own,
         };
         log::debug!("event=claim_taken_over turn={} peer={peer}", claim.turn);
-        self.claim_here(claim, limit, doubtful).await
+        self.claim_here(claim, limit, source).await
     }
 
     /// Reads a coordinator's reply; none if it makes no sense.
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep};
 
-use super::claim::TurnClaim;
+use super::claim::{ClaimSource, TurnClaim};
 use super::{
     LedgerReply, RESERVE_PATIENCE, RETRY_PAUSE, ReserveError, TurnKeeper, TurnReservation,
 };
@@ -51,10 +51,11 @@
         self: &Rc<Self>,
         claim: &TurnClaim,
         limit: Instant,
-        doubtful: bool,
+        source: ClaimSource,
     ) -> Result<TurnReservation, ReserveError> {
         let mut held = self.reservation(&claim.program, &claim.turn);
         let (reply, ended) = oneshot::channel();
+        let doubtful = source == ClaimSource::TakenOver;
         let pending =
             PendingReservation { claim: claim.clone(), limit, fresh: false, doubtful, reply };
         self.enqueue(pending);
@@ -66,7 +67,7 @@
         match end.result {
             Ok(()) => Ok(held),
             Err(error) => {
-                held.settled = !end.doubtful;
+                held.settled = !end.doubtful || source == ClaimSource::Peer;
                 Err(error)
             }
         }
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
-use super::claim::{ClaimError, TurnClaim};
+use super::claim::{ClaimError, ClaimSource, TurnClaim};
 use super::messages::{ChainTurn, ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
 use super::{BACKGROUND_LIMIT, CLAIM_PATH, SETTLE_PATH, TurnKeeper};
 use crate::core::turns::TurnRecord;
@@ -21,7 +21,7 @@
     async fn claim_for(self: &Rc<Self>, request: &ClaimRequest) -> Option<Bytes> {
         let claim = &request.claim;
         let limit = Instant::now() + Duration::from_millis(request.limit_ms);
-        let reply = match self.claim_here(claim, limit, false).await {
+        let reply = match self.claim_here(claim, limit, ClaimSource::Peer).await {
             Ok(claimed) => {
                 claimed.reservation.hand_over();
                 let known = if request.knows_chain { &[][..] } else { &claimed.chain.turns[..] };
