Write the last lines of the log before a process ends

Ruled out by reading: a stop that does not end (the line is handed over before the function returns that ends the process). Change: the end of the process waits for the lines that were taken, 250 ms at the most. Test: the_last_line_is_waited_for, with a reader that has stopped and one that goes on.

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -31,10 +31,16 @@
         println!("{}: the settings are valid", args.settings.display());
         return Ok(());
     }
-    start_log_to_stdout(&settings.instance);
-    block_on(serve(args.settings, settings, dialect))
+    let drain = start_log_to_stdout(&settings.instance);
+    let result = block_on(serve(args.settings, settings, dialect));
+    drain.wait(LAST_LINES);
+    result
 }
 
+/// How long the end of a process waits for its log to be written: a reader that has stopped must not
+/// hold it up, and the platform kills it soon after.
+const LAST_LINES: Duration = Duration::from_millis(250);
+
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PACE: Duration = Duration::from_secs(2);
 
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -24,7 +24,7 @@
 use crate::config::SettingsError;
 use crate::node::LaunchError;
 use crate::node::operators::ClientError;
-use crate::util::line_sink::LineSink;
+use crate::util::line_sink::{LineDrain, LineSink};
 
 /// Why a command failed.
 #[derive(Debug, Display, Error, From)]
@@ -74,9 +74,12 @@
     let _ = log_builder().try_init();
 }
 
-/// Like [`start_log`], to standard output and without ever waiting for its reader.
-pub(crate) fn start_log_to_stdout(instance: &str) {
-    let target = env_logger::Target::Pipe(Box::new(LineSink::new(io::stdout())));
+/// Like [`start_log`], to standard output and without ever waiting for its reader; a process that ends
+/// waits for the last lines by what this returns.
+pub(crate) fn start_log_to_stdout(instance: &str) -> LineDrain {
+    let sink = LineSink::new(io::stdout());
+    let drain = sink.drain();
+    let target = env_logger::Target::Pipe(Box::new(sink));
     let instance: Box<str> = instance.into();
     let _ = log_builder()
         .target(target)
@@ -88,6 +91,7 @@
             writeln!(buffer, "time={seconds}.{micros:06} instance={instance} level={level} {text}")
         })
         .try_init();
+    drain
 }
 
 fn log_builder() -> env_logger::Builder {
--- a/src/util/line_sink_tests.rs
+++ b/src/util/line_sink_tests.rs
@@ -43,3 +43,21 @@
         sink.write_all(b"event=y\n").expect("the sink takes all");
     }
 }
+
+/// A process ends right after its last line, while the thread that writes has not come to it. The end
+/// waits for the line; with a reader that has stopped it waits for the limit only.
+#[test]
+fn the_last_line_is_waited_for() {
+    let gate = Arc::new(Barrier::new(2));
+    let text = Arc::new(Mutex::new(Vec::new()));
+    let mut sink =
+        LineSink::new(StuckReader { gate: gate.clone(), passed: false, text: text.clone() });
+    let drain = sink.drain();
+    assert!(drain.wait(Duration::ZERO), "nothing waits yet");
+    sink.write_all(b"event=last\n").expect("the sink takes all");
+    assert!(!drain.wait(Duration::from_millis(20)), "the reader has stopped");
+    gate.wait();
+    assert!(drain.wait(Duration::from_secs(20)));
+    let text = String::from_utf8_lossy(&text.lock().expect("no writer panics")).into_owned();
+    assert_eq!(text, "event=last\n");
+}
