Claim a turn again after an outage only where nothing of it may stand

Cause: found by reading. A claim that met the beginning of an outage in doubt ended as 'nothing was done'; the wait for the store then claimed the same turn again, while its first reservation was being taken back in the background: the turn could run under a reservation that vanishes, its tokens uncounted. Change: a reservation in doubt ends as a lost reply, which is not claimed again. Test: a_turn_in_doubt_does_not_run_uncounted; it passes on the code before too (the order that hurts was not met), so it is not seen failing.

--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -152,7 +152,9 @@
                 return Err(ClaimError::Store(StoreError::Unavailable));
             }
             let claimed = self.turns.claim(peer.clone(), claim.clone(), limit).await;
-            let away = matches!(claimed, Err(ClaimError::Store(_)))
+            // One that may stand unseen is being taken back; claimed again, the turn would run under a
+            // reservation that is about to vanish, and its tokens would be counted nowhere.
+            let away = matches!(claimed, Err(ClaimError::Store(StoreError::Unavailable)))
                 && self.store.outage().is_some()
                 && Instant::now() < patience;
             if !away {
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -30,6 +30,11 @@
 }
 
 impl PendingReservation {
+    /// What a call that did nothing means for it: an earlier one may still take effect.
+    fn unavailable(&self) -> StoreError {
+        if self.doubtful { StoreError::ReplyLost } else { StoreError::Unavailable }
+    }
+
     fn end(self, result: Result<(), ReserveError>) {
         // Whoever no longer waits takes back what may stand.
         let _ = self.reply.send(ReservationEnd { result, doubtful: self.doubtful });
@@ -131,7 +136,8 @@
             Ok(LedgerReply::Changed) => left.extend(self.after_conflict(program, granted)),
             Err(StoreError::Unavailable) => {
                 for pending in granted {
-                    pending.end(Err(ReserveError::Store(StoreError::Unavailable)));
+                    let error = pending.unavailable();
+                    pending.end(Err(ReserveError::Store(error)));
                 }
             }
             Err(error) => left.extend(after_loss(granted, &error).await),
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -270,6 +270,28 @@
     assert_eq!(deployment.runs().len(), 1);
 }
 
+/// The store goes away while a turn's reservation is on its way, and the write lands late; then it
+/// returns while the caller still waits. The turn either runs and is counted, or is refused and its
+/// tokens return: it never runs under a reservation that is being taken back.
+#[actix_rt::test]
+async fn a_turn_in_doubt_does_not_run_uncounted() {
+    let deployment = Deployment::start(1, 1).await;
+    deployment.store.set_fault(StoreFault::LateWrites(1, Duration::from_millis(500)));
+    let address = deployment.gateway().settings.caller_address.clone();
+    let call = actix_rt::spawn(async move {
+        platform_standin::call_at(&address, &budgeted_turn("t1", "p", None, "x", 6)).await
+    });
+    wait_until("the write is on its way", async || deployment.store.fault() == StoreFault::None)
+        .await;
+    deployment.store.set_fault(StoreFault::Busy);
+    tokio::time::sleep(Duration::from_millis(900)).await;
+    deployment.store.set_fault(StoreFault::None);
+    let served = call.await.expect("it ends").status() == 200;
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let next = deployment.gateway().call(&budgeted_turn("t2", "p", None, "x", 11)).await;
+    assert_eq!(next.status(), if served { 402 } else { 200 }, "served: {served}");
+}
+
 /// The reservation's write hangs, its second try is refused for the store's rate, and the first takes
 /// effect after the caller was refused. A refused try says nothing of the one before it: the tokens must
 /// return all the same.
