Let as many instances share a coordinator as their turns allow

Cause: one coordinator for four instances has 15 turns a second at 295 instances, too few for a turn's record to meet another's reservation to travel with: 2.1 store calls a turn where 62 instances make 1.2 to 1.4. Ruled out: one for twelve everywhere: 62 instances with 13.5 turns a second each would give one coordinator 160. Change: CoordinatorSpan: one for twelve below 4.5 turns a second of an instance, one for four above 12, nothing changes between; leaders() is shared with the readers of news.

--- a/src/core/turns/coordinator.rs
+++ b/src/core/turns/coordinator.rs
@@ -1,13 +1,58 @@
 //! Which instance of a zone coordinates a program.
 
+use std::time::Duration;
+
+use tokio::time::Instant;
+
 use crate::core::members::{favourite, leaders};
 
-/// Instances for each coordinator. One for four has 53 turns a second where 16 instances share 210:
-/// enough that most records travel with another turn's reservation. The busiest instance took 2.8% of a
-/// core (measured on 62).
-const SPAN: usize = 4;
+/// Instances for each coordinator where they are busy. One for four has 53 turns a second where 16
+/// instances share 210: enough that most records travel with another turn's reservation. The busiest
+/// instance took 2.8% of a core (measured on 62).
+const BUSY_SPAN: usize = 4;
+/// Instances for each coordinator where they are not. At 295 instances of 3.7 turns a second one for
+/// four had 15 turns a second, and few records met a reservation to travel with; one for twelve has 45.
+const QUIET_SPAN: usize = 12;
+/// Turns a second of an instance below which it counts as quiet, and above which it no longer does: a
+/// twelfth and a quarter of some 50. Between them bursts and chance change nothing.
+const QUIET_BELOW: f64 = 4.5;
+const BUSY_ABOVE: f64 = 12.0;
+/// Time over which turns are counted, fading: at 4 a second chance moves the rate by 0.6.
+const RATE_FADE: Duration = Duration::from_secs(5);
+
+/// How many instances share a coordinator, by the turns that this one gets. Callers choose instances
+/// evenly, so all come to the same; where they do not for a while, two coordinators have a program,
+/// which does no harm.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct CoordinatorSpan {
+    rate: f64,
+    at: Option<Instant>,
+    busy: bool,
+}
+
+impl CoordinatorSpan {
+    /// Counts a turn.
+    pub fn note_turn(&mut self, now: Instant) {
+        self.rate = self.rate_at(now) + 1.0 / RATE_FADE.as_secs_f64();
+        self.at = Some(now);
+        self.busy = match self.busy {
+            true => self.rate >= QUIET_BELOW,
+            false => self.rate > BUSY_ABOVE,
+        };
+    }
+
+    /// Turns a second of late.
+    fn rate_at(&self, now: Instant) -> f64 {
+        let age = self.at.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        self.rate * (-age.as_secs_f64() / RATE_FADE.as_secs_f64()).exp()
+    }
+
+    pub fn instances(&self) -> usize {
+        if self.busy { BUSY_SPAN } else { QUIET_SPAN }
+    }
+}
 
-/// The member of a zone that coordinates a program, out of those that serve callers.
+/// The member of a zone that coordinates a program, out of those that serve callers, one of `span`.
 ///
 /// It is a hint: all instances that agree on the members name the same one, and those that do not do
 /// no harm, since the store judges each write. When the members change, only programs of the changed
@@ -16,7 +61,8 @@
 /// Gain: 1.21 to 1.41 store calls a turn instead of 1.62 to 2.54 (twelve days each).
 pub fn coordinator<'a>(
     program: &str,
+    span: usize,
     members: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    favourite(program, leaders("turns", SPAN, members))
+    favourite(program, leaders("turns", span, members))
 }
--- a/src/core/turns/mod.rs
+++ b/src/core/turns/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::ids::RequestId;
 
 pub use cache::{ChainLookup, TurnCache};
-pub use coordinator::coordinator;
+pub use coordinator::{CoordinatorSpan, coordinator};
 pub use ledger::{ProgramLedger, ReserveReply};
 pub use record::{RecordError, TurnRecord, split_value};
 
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -17,7 +17,7 @@
     MemberTable, group_place,
 };
 use crate::core::timeline::CausalClock;
-use crate::core::turns::coordinator;
+use crate::core::turns::{CoordinatorSpan, coordinator};
 use crate::node::peers::{decode_gossip, encode_gossip};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -48,6 +48,7 @@
     head: Cell<ConfigVersion>,
     /// Newest version of the routes that a peer has.
     heard_head: Cell<ConfigVersion>,
+    span: Cell<CoordinatorSpan>,
 }
 
 impl MemberView {
@@ -73,6 +74,7 @@
             seeds: RefCell::new(seed_addresses(settings)),
             head: Cell::new(0),
             heard_head: Cell::new(0),
+            span: Cell::default(),
         }
     }
 
@@ -133,13 +135,16 @@
         members.into_iter().map(|member| member.http_address.clone()).collect()
     }
 
-    /// Peer address of the instance that coordinates a program in this zone; none if that is this one
-    /// or there is none.
+    /// Peer address of the instance that coordinates a program in this zone, for a turn that has come;
+    /// none if that is this one or there is none.
     pub(crate) fn coordinator(&self, program: &str) -> Option<Box<str>> {
+        let mut span = self.span.get();
+        span.note_turn(Instant::now());
+        self.span.set(span);
         let table = self.table.borrow();
         let me = table.me();
         let near = table.iter().filter(|member| is_offered(member) && member.zone == me.zone);
-        let chosen = coordinator(program, near.map(|member| &*member.instance))?;
+        let chosen = coordinator(program, span.instances(), near.map(|member| &*member.instance))?;
         let chosen = table.iter().find(|member| *member.instance == *chosen)?;
         (chosen.instance != me.instance).then(|| chosen.rpc_address.clone())
     }
--- a/tests/gateway_coordinators.rs
+++ b/tests/gateway_coordinators.rs
@@ -13,6 +13,9 @@
 use serde_json::json;
 use tokio::time::Instant;
 
+/// Instances for each coordinator: with so few, all have the same one.
+const SPAN: usize = 4;
+
 /// A program's turns come to three instances by turns. All of them meet at one, which has the chain
 /// and the ledger in memory: the store is asked for the program once, not at every turn.
 #[actix_rt::test]
@@ -44,7 +47,7 @@
     for kill in 0..3 {
         deployment.all_named().await;
         let instances = deployment.gateways.iter().map(|gateway| &*gateway.settings.instance);
-        let victim = coordinator("p", instances).expect("there are some").to_owned();
+        let victim = coordinator("p", SPAN, instances).expect("there are some").to_owned();
         let at = deployment.gateways.iter().position(|g| *g.settings.instance == *victim);
         let mut victim = deployment.gateways.swap_remove(at.expect("it is one of them"));
         for round in 0..3 {
@@ -95,7 +98,7 @@
     let first = TestGateway::instance("127.0.0.2");
     let coordinates = |ip: &String| {
         let instance = TestGateway::instance(ip);
-        coordinator("p", [&*first, &*instance]) == Some(&*instance)
+        coordinator("p", SPAN, [&*first, &*instance]) == Some(&*instance)
     };
     let ip = (20..).map(|number| format!("127.0.0.{number}")).find(coordinates);
     deployment.add_gateway_at(&ip.expect("one comes first"), &address, own).await;
