Deny unknown routes by what was confirmed within 1.5 s

Ruled out: trusting the steady clock alone: it stands still while a machine is suspended, and a route added meanwhile would be denied, which ends its caller's program.

--- a/src/gateway/news/follow.rs
+++ b/src/gateway/news/follow.rs
@@ -8,6 +8,7 @@
 use super::StoreNews;
 use crate::gateway::rows::{ChangesReply, RowRange};
 use crate::node::platform::StoreError;
+use crate::util::pause::ClockMark;
 
 /// How long the store may hold a question for new routes. A connection that has gone silent is
 /// noticed only when this has passed, and routes must be in force within 2 s.
@@ -23,7 +24,7 @@
 
 impl StoreNews {
     pub(super) async fn read_routes(&self) -> Result<(), StoreError> {
-        let asked = Instant::now();
+        let asked = ClockMark::now();
         let table = self.dialect.routes_table();
         let range = RowRange { table: table.into(), part: Box::default(), from: None, limit: None };
         let reply = self.store.range(&range).await?;
@@ -36,13 +37,14 @@
         let table = self.dialect.routes_table();
         loop {
             self.unled().await;
-            let asked = Instant::now();
+            let mark = ClockMark::now();
+            let asked = mark.steady();
             let after = self.route_log.borrow().head();
             match self.store.changes(table, after, ROUTES_WAIT).await {
                 Ok(ChangesReply::Changes { rows, version }) => {
                     // Without changes it was held, and tells of the moment at which it was let go.
                     let held = if rows.is_empty() { ROUTES_WAIT } else { Duration::ZERO };
-                    self.change_routes(rows, version, asked + held.min(asked.elapsed()));
+                    self.change_routes(rows, version, asked + held.min(asked.elapsed()), mark);
                 }
                 Ok(ChangesReply::HistoryGone) => {
                     log::info!("event=history_gone table={table} after={after}");
--- a/src/gateway/news/messages.rs
+++ b/src/gateway/news/messages.rs
@@ -43,6 +43,7 @@
     upstreams: TableHead,
     /// How long ago the reader saw the store return, if that was lately.
     returned_ms: Option<u64>,
+    held_ms: u64,
 }
 
 /// What a reader knows of one table.
@@ -61,6 +62,8 @@
     pub(super) routes: TableNews,
     pub(super) upstreams: TableNews,
     pub(super) returned: Option<Duration>,
+    /// How long the reader held the question.
+    pub(super) held: Duration,
 }
 
 impl TableNews {
@@ -104,7 +107,8 @@
         let (upstreams, upstream_values) = self.upstreams.split();
         let returned_ms = self.returned.map(|returned| returned.as_millis() as u64);
         let values: Vec<&[u8]> = route_values.chain(upstream_values).collect();
-        frame(&ReplyHead { routes, upstreams, returned_ms }, &values)
+        let held_ms = self.held.as_millis() as u64;
+        frame(&ReplyHead { routes, upstreams, returned_ms, held_ms }, &values)
     }
 
     /// Reads a reply about these tables.
@@ -117,6 +121,7 @@
         let routes = TableNews::join(routes_table, head.routes, &mut values)?;
         let upstreams = TableNews::join(upstreams_table, head.upstreams, &mut values)?;
         let returned = head.returned_ms.map(Duration::from_millis);
-        Ok(Self { routes, upstreams, returned })
+        let held = Duration::from_millis(head.held_ms);
+        Ok(Self { routes, upstreams, returned, held })
     }
 }
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -25,11 +25,14 @@
 use crate::core::ids::UpstreamId;
 use crate::core::routing::{RouteTable, TableNews, TableView};
 use crate::core::upstreams::{ListNews, UpstreamEntry, UpstreamTable};
+use crate::util::pause::ClockMark;
 
 pub(crate) use self::reader::{NEWS_PATH, NewsReaders};
 
-/// Routes confirmed so lately need not be read again to say that one does not exist.
-const FRESH: Duration = Duration::from_millis(400);
+/// Routes confirmed so lately need not be read again to say that one does not exist. A new route must be
+/// in force after 2 s; at the usual age of 0.8 s nearly all are, where with 0.4 s each question for an
+/// unknown route went to the store (5,900 of 104,000 calls a day at 295 instances).
+const FRESH: Duration = Duration::from_millis(1_500);
 
 /// What the instance knows from the store's news.
 pub(crate) struct StoreNews {
@@ -37,6 +40,8 @@
     pool: Rc<ConnectionPool>,
     dialect: Rc<dyn GatewayDialect>,
     routes: RefCell<TableView>,
+    /// When the question was sent that last confirmed the routes.
+    routes_asked: Cell<Option<ClockMark>>,
     pub(crate) upstreams: RefCell<UpstreamTable>,
     upstreams_known: Cell<bool>,
     /// What each row of an upstream said last; none if it could not be read.
@@ -64,6 +69,7 @@
             pool,
             dialect,
             routes: RefCell::default(),
+            routes_asked: Cell::new(None),
             upstreams: RefCell::default(),
             upstreams_known: Cell::new(false),
             listed: RefCell::default(),
@@ -101,32 +107,39 @@
     /// meanwhile.
     pub(crate) async fn refresh_routes(&self) -> bool {
         let confirmed = self.routes.borrow().confirmed();
-        if confirmed.is_some_and(|at| at.elapsed() < FRESH) {
+        let paused = self.routes_asked.get().is_some_and(|asked| asked.is_paused());
+        if confirmed.is_some_and(|at| at.elapsed() < FRESH) && !paused {
             return true;
         }
         self.read_routes().await.is_ok()
     }
 
     /// Takes all rows of the routes' table.
-    fn replace_routes(&self, rows: Vec<StoredRow>, head: RowVersion, asked: Instant) {
+    fn replace_routes(&self, rows: Vec<StoredRow>, head: RowVersion, asked: ClockMark) {
         for row in &rows {
             self.take_routes(row);
         }
-        self.route_log.borrow_mut().restart(rows, head, asked);
-        self.routes.borrow_mut().confirm(asked);
+        self.route_log.borrow_mut().restart(rows, head, asked.steady());
+        self.confirm_routes(asked.steady(), asked);
         self.changed.notify_waiters();
     }
 
-    /// Takes changes of the routes' table, all up to `head`.
-    fn change_routes(&self, rows: Vec<StoredRow>, head: RowVersion, asked: Instant) {
+    /// Notes that the routes were the newest at a moment, by the answer to a question of another one.
+    fn confirm_routes(&self, at: Instant, asked: ClockMark) {
+        self.routes.borrow_mut().confirm(at);
+        self.routes_asked.set(Some(asked));
+    }
+
+    /// Takes changes of the routes' table, all up to `head`, as of a moment.
+    fn change_routes(&self, rows: Vec<StoredRow>, head: RowVersion, at: Instant, asked: ClockMark) {
         let mut log = self.route_log.borrow_mut();
         for row in rows {
             self.take_routes(&row);
             log.put(row);
             self.changed.notify_waiters();
         }
-        log.advance(head, asked);
-        self.routes.borrow_mut().confirm(asked);
+        log.advance(head, at);
+        self.confirm_routes(at, asked);
     }
 
     /// Takes a version of the routes; one that cannot be read leaves the last good one in force.
--- a/src/gateway/news/reader.rs
+++ b/src/gateway/news/reader.rs
@@ -15,6 +15,7 @@
 use super::messages::{NewsQuestion, NewsReply, TableNews};
 use super::table_log::NewsLog;
 use crate::gateway::usual::FailedPeers;
+use crate::util::pause::ClockMark;
 
 /// Path of the news on the address for peers.
 pub(crate) const NEWS_PATH: &str = "/news";
@@ -91,7 +92,7 @@
             hold_ms: HOLD.as_millis() as u64,
         };
         let body = serde_json::to_vec(&question).expect("questions serialize").into();
-        let asked = Instant::now();
+        let asked = ClockMark::now();
         let limit = HOLD + PATIENCE;
         let answer = self.pool.exchange(reader, Method::POST, NEWS_PATH, body, limit).await;
         let (status, text) = answer.map_err(ReaderFailure::Silent)?;
@@ -109,24 +110,23 @@
         Ok(())
     }
 
-    /// Takes what a reader tells. How old it is counts from the question, as the way took some time.
-    fn take_reply(&self, reply: NewsReply, asked: Instant) {
+    /// Takes what a reader tells, as of the moment at which it let the question go or before; the way
+    /// back counts as age.
+    fn take_reply(&self, reply: NewsReply, asked: ClockMark) {
+        let told = asked.steady() + reply.held.min(asked.steady().elapsed());
+        let before = |age: Duration| told.checked_sub(age).unwrap_or(asked.steady());
         if let Some(returned) = reply.returned {
-            let at = Instant::now().checked_sub(returned);
-            self.upstreams.borrow_mut().store_returned(at.unwrap_or(asked));
+            self.upstreams.borrow_mut().store_returned(before(returned));
         }
-        let at = |news: &TableNews| asked.checked_sub(news.age).unwrap_or(asked);
-        let TableNews { head, page, .. } = &reply.routes;
-        let rows = page.rows.clone();
+        let TableNews { head, age, page } = reply.routes;
         match page.whole {
-            true => self.replace_routes(rows, *head, at(&reply.routes)),
-            false => self.change_routes(rows, *head, at(&reply.routes)),
+            true => self.replace_routes(page.rows, head, asked),
+            false => self.change_routes(page.rows, head, before(age), asked),
         }
-        let TableNews { head, page, .. } = &reply.upstreams;
-        let rows = page.rows.clone();
+        let TableNews { head, age, page } = reply.upstreams;
         match page.whole {
-            true => self.replace_upstreams(rows, *head, at(&reply.upstreams)),
-            false => self.change_upstreams(rows, *head, at(&reply.upstreams)),
+            true => self.replace_upstreams(page.rows, head, before(age)),
+            false => self.change_upstreams(page.rows, head, before(age)),
         }
     }
 
@@ -135,8 +135,8 @@
     /// turns, followers refused turns that could have waited for its return.
     pub(crate) async fn serve_news(&self, question: &[u8]) -> Option<Bytes> {
         let question: NewsQuestion = serde_json::from_slice(question).ok()?;
-        let held = Duration::from_millis(question.hold_ms).min(HOLD);
-        let until = Instant::now() + held;
+        let begun = Instant::now();
+        let until = begun + Duration::from_millis(question.hold_ms).min(HOLD);
         loop {
             let changed = self.changed.notified();
             let routes = table_news(&self.route_log.borrow(), question.routes_after)?;
@@ -148,7 +148,8 @@
             let has_news = !routes.page.rows.is_empty() || !upstreams.page.rows.is_empty();
             if has_news || Instant::now() >= until {
                 let returned = self.upstreams.borrow().returned_for(Instant::now());
-                return Some(NewsReply { routes, upstreams, returned }.encode());
+                let held = begun.elapsed();
+                return Some(NewsReply { routes, upstreams, returned, held }.encode());
             }
             tokio::select! {
                 () = changed => {}
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod line_sink;
 pub(crate) mod lines;
 pub(crate) mod meter;
+pub(crate) mod pause;
 pub(crate) mod rpc;
