--- a/src/bench/cores.rs
+++ b/src/bench/cores.rs
@@ -16,6 +16,10 @@
 use crate::core::outcome::{CallAnswer, CallOutcome, TokenUsage};
 use crate::core::ownership::{ShardOwner, ShardTable, assign_engines, assign_shards};
 use crate::core::timeline::CausalStamp;
+use crate::core::turns::{CoordinatorSpan, coordinator};
+use crate::core::upstreams::{
+    ChoiceRequest, ListNews, UpstreamEntry, UpstreamState, UpstreamTable,
+};
 
 /// One operation on a state of one size.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -39,6 +43,12 @@
 const WORKSPACES: [usize; 3] = [54, 540, 5_400];
 const INSTANCES: [usize; 5] = [3, 10, 30, 100, 530];
 const QUEUES: [usize; 3] = [10, 100, 1_000];
+/// Upstreams of a service: a small site's, a large one's, the target's.
+const UPSTREAMS: [usize; 3] = [9, 130, 4_900];
+/// Members of a zone: a small site's, a large one's, the target's.
+const NEIGHBOURS: [usize; 3] = [4, 59, 106];
+/// Decisions measured together.
+const DECISIONS: usize = 200;
 /// Shards of the target, and engines.
 const TARGET_SHARDS: u16 = 4_096;
 const TARGET_ENGINES: usize = 4_900;
@@ -63,6 +73,8 @@
         slopes.push(measure_shard_plan(count));
     }
     slopes.extend(QUEUES.map(measure_queue));
+    slopes.extend(UPSTREAMS.map(measure_upstream_choice));
+    slopes.extend(NEIGHBOURS.map(measure_coordinator));
     CoreReport { slopes }
 }
 
@@ -250,3 +262,50 @@
     black_box(slots.advance(now));
     slope("grant from an engine's queue", count, started.elapsed(), 1, 0.0)
 }
+
+/// The choice of an upstream for a request without an object, which looks at all of the service.
+fn measure_upstream_choice(count: usize) -> CoreSlope {
+    let now = tokio::time::Instant::now();
+    let mut table = UpstreamTable::default();
+    for index in 0..count {
+        let entry = UpstreamEntry {
+            id: format!("upstream-{index}").into(),
+            born: None,
+            service: "service".into(),
+            address: format!("10.1.{}.{}:80", index / 250, index % 250).into(),
+            zone: format!("zone-{}", index % 5).into(),
+            slots: 16,
+            state: UpstreamState::Ready,
+            warming: Duration::ZERO,
+        };
+        table.apply(ListNews::Listed(entry), now);
+    }
+    let started = Instant::now();
+    for salt in 0..DECISIONS {
+        let request = ChoiceRequest {
+            service: "service",
+            zone: "zone-1",
+            parts: &[],
+            holder: None,
+            affinity: None,
+            tried: &[],
+            connected: &|_| false,
+            salt: salt as u64,
+            now,
+        };
+        black_box(table.choose(&request));
+    }
+    slope("choice of an upstream", count, started.elapsed(), DECISIONS, 0.0)
+}
+
+/// The coordinator of a program, which is looked for at each of its turns.
+fn measure_coordinator(count: usize) -> CoreSlope {
+    let names: Vec<String> = (0..count).map(|index| format!("instance-{index}")).collect();
+    let span = CoordinatorSpan::default().instances();
+    let started = Instant::now();
+    for program in 0..DECISIONS {
+        let names = names.iter().map(|name| &**name);
+        black_box(coordinator(&program.to_string(), span, names));
+    }
+    slope("coordinator of a program", count, started.elapsed(), DECISIONS, 0.0)
+}
