Serve only callers whose key the configuration names, and keep what they own apart

Cause: the caller's key and whatever workspace it claimed went to the upstream, and nobody looked at either. Keys, workspaces and open routes are decoded once; an unknown key is denied on news of 1.5 s or less, else asked again (one question for all that wait, five a second while it fails), else 503. A key has no text form, and an error of the configuration tells its place, not its text. Programs and turns lie under names that begin with the workspace, so another's ids find nothing.

Ruled out: comparing the workspace at each place that reads a chain (six places; one scoped name does it).

--- /dev/null
+++ b/src/core/quotas/limiter.rs
@@ -0,0 +1,206 @@
+//! The limiter of one workspace.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::bucket::{BucketPace, TokenBucket};
+use super::{QuotaBounds, QuotaReply, QuotaTerms};
+
+/// Part of the margin that a limiter itself uses: half. The other half is for two limiters at once,
+/// while the members find out that one of them is gone.
+const CHIEF_MARGIN: f64 = 0.5;
+/// Part of the margin that a deputy holds at once, and gives out again in a window: half of the margin
+/// together, which is the half that the limiter leaves.
+const DEPUTY_MARGIN: f64 = 0.25;
+/// How long a request may wait for its place: a quarter of the shortest objective of a call (250 ms)
+/// and more costs less than a refusal, after which the caller comes back no sooner.
+const HOLD: Duration = Duration::from_millis(250);
+/// Requests of a program where none has been seen: three to seven turns with some two calls each.
+const NEED_PRIOR: f64 = 12.0;
+/// Programs that the prior counts for.
+const NEED_WEIGHT: f64 = 4.0;
+/// Time over which requests and programs are counted, fading: some programs of a workspace with one
+/// in two seconds.
+const NEED_FADE: Duration = Duration::from_secs(20);
+/// Part of the rate that new programs may plan with. What is left takes up programs that need more
+/// than the mean: at all of it, programs under way were refused.
+const PLANNED_SHARE: f64 = 0.95;
+/// Shortest and longest time after which a refused request is told to come back. Callers wait up to a
+/// third of their time, 1.7 s of the longest objective; what comes later than that is not waited for.
+const RETRY_LEAST: Duration = Duration::from_millis(100);
+const RETRY_MOST: Duration = Duration::from_millis(1_600);
+
+/// As what an instance limits a workspace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum LimiterRole {
+    /// The workspace is its own, as far as it knows. `share` is the part of the known members that it
+    /// sees alive: where a network falls into pieces, each piece has a limiter, and their shares add up
+    /// to one. Without it two halves of a cut network had twice the limit.
+    Chief { share: f64 },
+    /// Another member's, whom somebody does not reach. It gives out a part of the margin only, so that
+    /// the limit holds though the other may go on.
+    Deputy,
+}
+
+/// The limit of a workspace as one instance applies it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct LimitTerms {
+    pub quota: QuotaTerms,
+    pub bounds: QuotaBounds,
+    pub role: LimiterRole,
+}
+
+impl LimitTerms {
+    /// What is let in at once and a second.
+    fn call_pace(&self) -> BucketPace {
+        match self.role {
+            LimiterRole::Chief { share } => {
+                let over = 1.0 + CHIEF_MARGIN * self.bounds.over;
+                let most = self.quota.burst * over + CHIEF_MARGIN * self.bounds.slack;
+                BucketPace { rate: self.quota.rate * over * share, most: most * share }
+            }
+            LimiterRole::Deputy => {
+                let most = DEPUTY_MARGIN * self.bounds.margin(self.quota);
+                BucketPace { rate: most / self.bounds.window.as_secs_f64().max(1.0), most }
+            }
+        }
+    }
+
+    /// What new programs may need: beyond the bucket, half of what the limit gives in a window.
+    fn program_pace(&self) -> BucketPace {
+        let calls = self.call_pace();
+        let ahead = calls.rate * self.bounds.window.as_secs_f64() / 2.0;
+        BucketPace { rate: calls.rate * PLANNED_SHARE, most: calls.most + ahead }
+    }
+}
+
+/// What a request asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaAsk {
+    /// Whether it is the first request of a program, which stands for all that follow.
+    pub opens: bool,
+}
+
+/// How many requests a program has, learned from those that were let in.
+#[derive(Debug, Clone, Copy)]
+struct ProgramNeed {
+    requests: f64,
+    programs: f64,
+    at: Instant,
+}
+
+impl ProgramNeed {
+    fn new(now: Instant) -> Self {
+        Self { requests: 0.0, programs: 0.0, at: now }
+    }
+
+    fn note(&mut self, opens: bool, now: Instant) {
+        let age = now.saturating_duration_since(self.at);
+        let kept = (-age.as_secs_f64() / NEED_FADE.as_secs_f64()).exp();
+        self.at = self.at.max(now);
+        self.requests = self.requests * kept + 1.0;
+        self.programs = self.programs * kept + f64::from(u8::from(opens));
+    }
+
+    fn mean(&self) -> f64 {
+        let requests = self.requests + NEED_PRIOR * NEED_WEIGHT;
+        (requests / (self.programs + NEED_WEIGHT)).max(1.0)
+    }
+}
+
+/// When the next refused request may come back: one after another, at the pace at which there is room,
+/// so that they do not return together and find the bucket empty again.
+#[derive(Debug, Clone, Copy)]
+struct ReturnQueue {
+    next: Instant,
+}
+
+impl ReturnQueue {
+    fn line_up(&mut self, wait: Duration, step: Duration, now: Instant) -> Duration {
+        let at = self.next.max(now + wait);
+        let retry = at.saturating_duration_since(now);
+        if retry < RETRY_MOST {
+            self.next = at + step;
+        }
+        retry.clamp(RETRY_LEAST, RETRY_MOST)
+    }
+}
+
+/// Lets requests of one workspace in at its rate, and new programs at the rate at which all their
+/// requests fit.
+///
+/// A program of seven turns and a dozen calls that is stopped in its midst has wasted all of them, so
+/// its first turn is refused instead, and whatever is under way finds room.
+#[derive(Debug, Clone)]
+pub struct WorkspaceLimiter {
+    calls: TokenBucket,
+    programs: TokenBucket,
+    need: ProgramNeed,
+    calls_back: ReturnQueue,
+    programs_back: ReturnQueue,
+    refused: u64,
+}
+
+impl WorkspaceLimiter {
+    /// A limiter that has been responsible since a moment, and whose workspace has asked nothing.
+    pub fn new(since: Instant, limit: LimitTerms, now: Instant) -> Self {
+        let mut calls = TokenBucket::new(0.0, since);
+        calls.fill(limit.call_pace(), now);
+        let mut programs = TokenBucket::new(0.0, since);
+        programs.fill(limit.program_pace(), now);
+        let back = ReturnQueue { next: now };
+        let need = ProgramNeed::new(now);
+        Self { calls, programs, need, calls_back: back, programs_back: back, refused: 0 }
+    }
+
+    /// Decides about a request. `by_program` tells whether first requests are held to what their
+    /// programs need.
+    pub fn ask(
+        &mut self,
+        ask: QuotaAsk,
+        limit: LimitTerms,
+        by_program: bool,
+        now: Instant,
+    ) -> QuotaReply {
+        let (calls, programs) = (limit.call_pace(), limit.program_pace());
+        self.calls.fill(calls, now);
+        self.programs.fill(programs, now);
+        let need = self.need.mean().min(programs.most);
+        let planned = self.programs.wait(need, programs);
+        if ask.opens && by_program && planned > HOLD {
+            self.refused += 1;
+            let step = programs.time_for(need);
+            let retry_after = self.programs_back.line_up(planned, step, now);
+            return QuotaReply::Refused { retry_after };
+        }
+        let Some(after) = self.calls.take(1.0, calls, HOLD) else {
+            self.refused += 1;
+            let step = calls.time_for(1.0);
+            let retry_after = self.calls_back.line_up(self.calls.wait(1.0, calls), step, now);
+            return QuotaReply::Refused { retry_after };
+        };
+        if ask.opens {
+            self.programs.charge(need);
+        }
+        self.need.note(ask.opens, now);
+        QuotaReply::Granted { after }
+    }
+
+    /// Takes back a place that was granted lately and not used.
+    pub fn give_back(&mut self, ask: QuotaAsk, limit: LimitTerms) {
+        self.calls.put_back(1.0, limit.call_pace());
+        if ask.opens {
+            self.programs.put_back(self.need.mean(), limit.program_pace());
+        }
+    }
+
+    /// Requests that may go on now; below zero where some wait.
+    pub fn level(&self) -> f64 {
+        self.calls.level()
+    }
+
+    pub fn refused(&self) -> u64 {
+        self.refused
+    }
+}
--- /dev/null
+++ b/src/core/quotas/mod.rs
@@ -0,0 +1,57 @@
+//! How many requests a workspace may have run, over all instances together.
+//!
+//! Each workspace has one limiter among the members, found by hashing as coordinators are. It keeps a
+//! bucket of requests ([`limiter`]); all instances ask it before they send a request on. Its memory is
+//! soft: whoever takes over begins with an empty bucket, so what the former one gave out needs no
+//! record. [`share`] is the other way that was weighed: each instance has its part of each limit.
+
+mod bucket;
+mod limiter;
+mod share;
+
+use std::time::Duration;
+
+pub use bucket::{BucketPace, TokenBucket};
+pub use limiter::{LimitTerms, LimiterRole, QuotaAsk, WorkspaceLimiter};
+pub use share::QuotaShare;
+
+/// The limit of one workspace.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaTerms {
+    /// Requests a second, above 0.
+    pub rate: f64,
+    /// Requests beyond that at once, at least 1.
+    pub burst: f64,
+}
+
+/// How exactly limits must be kept: in any window no more than the limit allows there, a part of that
+/// and some requests beyond.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    pub window: Duration,
+    /// Part of what the limit allows in a window.
+    pub over: f64,
+    /// Requests.
+    pub slack: f64,
+}
+
+impl QuotaBounds {
+    /// Requests that a workspace may have run in any window beyond its limit.
+    pub fn margin(&self, terms: QuotaTerms) -> f64 {
+        self.over * self.limit(terms) + self.slack
+    }
+
+    /// Requests that the limit itself allows in a window.
+    pub fn limit(&self, terms: QuotaTerms) -> f64 {
+        terms.rate * self.window.as_secs_f64() + terms.burst
+    }
+}
+
+/// Whether a request may be sent on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QuotaReply {
+    /// It may, after this pause.
+    Granted { after: Duration },
+    /// It may not; there is room for it after this time.
+    Refused { retry_after: Duration },
+}
--- /dev/null
+++ b/src/core/quotas/share.rs
@@ -0,0 +1,46 @@
+//! The other way that was weighed: an equal part of each limit at each instance, no message.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::bucket::{BucketPace, TokenBucket};
+use super::{QuotaBounds, QuotaReply, QuotaTerms};
+
+/// How long a request may wait for its place, as at a limiter.
+const HOLD: Duration = Duration::from_millis(250);
+
+/// One instance's part of a workspace's limit.
+#[derive(Debug, Clone)]
+pub struct QuotaShare {
+    bucket: TokenBucket,
+}
+
+impl QuotaShare {
+    /// A part that begins empty, as an instance that has started knows nothing of what its former run
+    /// gave out.
+    pub fn new(now: Instant) -> Self {
+        Self { bucket: TokenBucket::new(0.0, now) }
+    }
+
+    /// Decides about a request at one of `instances`.
+    pub fn ask(
+        &mut self,
+        terms: QuotaTerms,
+        bounds: QuotaBounds,
+        instances: usize,
+        now: Instant,
+    ) -> QuotaReply {
+        let part = 1.0 / instances.max(1) as f64;
+        let rate = terms.rate * (1.0 + bounds.over) * part;
+        // A part below one request would hold none at all; that the whole is exceeded by the rounding
+        // is what speaks against this way.
+        let most = ((terms.burst * (1.0 + bounds.over) + bounds.slack) * part).max(1.0);
+        let pace = BucketPace { rate, most };
+        self.bucket.fill(pace, now);
+        match self.bucket.take(1.0, pace, HOLD) {
+            Some(after) => QuotaReply::Granted { after },
+            None => QuotaReply::Refused { retry_after: self.bucket.wait(1.0, pace) },
+        }
+    }
+}
--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -49,6 +49,8 @@
     pub sticky: bool,
     /// How long turns are kept after they were last named, where the system keeps them.
     pub retention: Option<Duration>,
+    /// Whether callers need no key.
+    pub is_open: bool,
 }
 
 impl RouteSpec {
--- a/src/core/routing/table.rs
+++ b/src/core/routing/table.rs
@@ -7,6 +7,7 @@
 use tokio::time::Instant;
 
 use super::{CallerLimits, RouteSpec, ServiceName, ServiceSpec, TableVersion};
+use crate::core::workspaces::WorkspaceTable;
 
 /// All routes and services of one version.
 #[derive(Debug, Clone, PartialEq)]
@@ -16,6 +17,8 @@
     services: BTreeMap<ServiceName, ServiceSpec>,
     /// Routes of each host, those with the longest prefix first.
     hosts: BTreeMap<Box<str>, Vec<Rc<RouteSpec>>>,
+    /// Who may ask; none if everybody may.
+    workspaces: Option<WorkspaceTable>,
 }
 
 impl RouteTable {
@@ -33,7 +36,17 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         let services = services.into_iter().map(|spec| (spec.name.clone(), spec)).collect();
-        Self { version, limits, services, hosts }
+        Self { version, limits, services, hosts, workspaces: None }
+    }
+
+    /// The same routes for the callers of these workspaces only.
+    pub fn with_workspaces(self, workspaces: WorkspaceTable) -> Self {
+        Self { workspaces: Some(workspaces), ..self }
+    }
+
+    /// Who may ask; none if everybody may.
+    pub fn workspaces(&self) -> Option<&WorkspaceTable> {
+        self.workspaces.as_ref()
     }
 
     /// The route with the longest prefix that begins the path.
--- /dev/null
+++ b/src/core/workspaces/table.rs
@@ -0,0 +1,75 @@
+//! The workspaces of one version of the configuration, found by key.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use derive_more::Display;
+
+use super::{ApiKey, WorkspaceSpec};
+use crate::core::ids::WorkspaceId;
+
+/// A key in a configuration that nobody can use.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum KeyProblem {
+    /// It would admit callers that send an empty one.
+    #[display("workspace '{workspace}' has an empty key, which is ignored")]
+    Empty { workspace: WorkspaceId },
+    #[display("workspaces '{holder}' and '{other}' share a key; it stays with '{holder}'")]
+    Shared { holder: WorkspaceId, other: WorkspaceId },
+}
+
+/// Workspaces by key. The hash of a key is seeded at random in each process, so that nobody can tell
+/// from the time of a look-up how much of a guess was right; what is found is compared whole.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct WorkspaceTable {
+    by_key: HashMap<ApiKey, Rc<WorkspaceSpec>>,
+    by_name: HashMap<WorkspaceId, Rc<WorkspaceSpec>>,
+    problems: Vec<KeyProblem>,
+}
+
+impl WorkspaceTable {
+    /// Takes the workspaces of a configuration.
+    pub fn new(specs: impl IntoIterator<Item = WorkspaceSpec>) -> Self {
+        let mut table = Self::default();
+        for spec in specs {
+            let spec = Rc::new(spec);
+            for key in &spec.keys {
+                let problem = table.add_key(key, &spec);
+                table.problems.extend(problem);
+            }
+            table.by_name.entry(spec.name.clone()).or_insert(spec);
+        }
+        table
+    }
+
+    fn add_key(&mut self, key: &ApiKey, spec: &Rc<WorkspaceSpec>) -> Option<KeyProblem> {
+        if key.is_empty() {
+            return Some(KeyProblem::Empty { workspace: spec.name.clone() });
+        }
+        let holder = self.by_key.entry(key.clone()).or_insert_with(|| spec.clone());
+        let shared = holder.name != spec.name;
+        shared.then(|| KeyProblem::Shared { holder: holder.name.clone(), other: spec.name.clone() })
+    }
+
+    /// The workspace that holds a key.
+    pub fn holder(&self, key: &ApiKey) -> Option<&Rc<WorkspaceSpec>> {
+        self.by_key.get(key)
+    }
+
+    pub fn get(&self, name: &str) -> Option<&Rc<WorkspaceSpec>> {
+        self.by_name.get(name)
+    }
+
+    /// Keys that cannot be used.
+    pub fn problems(&self) -> &[KeyProblem] {
+        &self.problems
+    }
+
+    pub fn len(&self) -> usize {
+        self.by_name.len()
+    }
+
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+}
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -281,6 +281,7 @@
             expect: choice.id.clone(),
             deadline: call.deadline.saturating_duration_since(Instant::now()),
             priority: call.priority,
+            workspace: call.workspace.as_ref().map(|workspace| workspace.name.clone()),
         };
         let mut head = RequestHead::default();
         head.method = call.method.clone();
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -1,5 +1,6 @@
 //! One request of a caller, from its head to the end of its answer.
 
+mod access;
 mod prepare;
 mod relay;
 mod turn;
@@ -21,6 +22,7 @@
 use super::refusal::Refusal;
 use crate::core::ids::{RequestId, Tokens, UpstreamId};
 use crate::core::routing::{RouteSpec, ServiceName};
+use crate::core::workspaces::WorkspaceSpec;
 
 /// When a caller may come back whose request found no place before its deadline.
 const DEADLINE_RETRY: Duration = Duration::from_millis(500);
@@ -39,7 +41,12 @@
     pub(crate) service: ServiceName,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
+    /// What the upstream is told, if it knows an order.
     pub(crate) priority: Option<u8>,
+    /// Its rank here: the workspace's, else the route's; 0 is the most urgent.
+    pub(crate) rank: u8,
+    /// Whose request it is; none where nobody had to show a key.
+    pub(crate) workspace: Option<Rc<WorkspaceSpec>>,
     /// The engine that holds the chain.
     pub(crate) holder: Option<UpstreamId>,
     /// Tokens in each event of the engine's stream.
@@ -57,6 +64,13 @@
     keep: bool,
 }
 
+impl CallContext {
+    /// For logs.
+    pub(crate) fn workspace_name(&self) -> &str {
+        self.workspace.as_ref().map_or("-", |workspace| &workspace.name)
+    }
+}
+
 impl CallEnd {
     fn cut(outcome: &'static str, upstream: Option<UpstreamId>) -> Self {
         Self { outcome, status: 0, upstream, first: None, keep: false }
@@ -101,10 +115,11 @@
         };
         self.metrics.call_ended(&sample);
         log::info!(
-            "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
+            "event=call_ended request={} workspace={} program={} route={} kind={} outcome={} status={} \
              upstream={} tries={} runs={} coordinator={} claimed_ms={} sent_ms={} first_ms={} \
              ms={}",
             call.id,
+            call.workspace_name(),
             call.head.program.as_deref().unwrap_or("-"),
             call.route.name,
             call.route.kind,
--- a/src/gateway/call/prepare.rs
+++ b/src/gateway/call/prepare.rs
@@ -9,14 +9,14 @@
 use tokio::time::Instant;
 
 use super::CallContext;
+use super::access::CallGrant;
 use crate::core::ids::RequestId;
-use crate::core::routing::{RouteSpec, RouteTable};
 use crate::gateway::Gateway;
 use crate::gateway::http::{CallerReader, CallerRequest, CallerWriter};
 use crate::gateway::refusal::Refusal;
 
 /// When a caller may come back to an instance that has no routes yet: they are read in a second.
-const NO_ROUTES_RETRY: Duration = Duration::from_millis(500);
+pub(super) const NO_ROUTES_RETRY: Duration = Duration::from_millis(500);
 /// Headers that concern one connection only (RFC 9110, 7.6.1), and those the codec writes.
 const HOP_HEADERS: [&str; 10] = [
     "connection",
@@ -69,7 +69,8 @@
         };
         let id = head.request.clone().unwrap_or_default();
         let fail = |refusal| (id.clone(), refusal);
-        let (table, route) = self.find_route(&request).await.map_err(fail)?;
+        let grant = self.authorize(&request, head.key.as_ref()).await.map_err(fail)?;
+        let CallGrant { table, route, workspace } = grant;
         if id.is_empty() {
             let refusal = Refusal::rejected(StatusCode::BAD_REQUEST, "no_request_id");
             return Err(fail(refusal));
@@ -84,6 +85,8 @@
         let Some(service) = route.service(random()).cloned() else {
             return Err(fail(Refusal::not_run("route_without_service", NO_ROUTES_RETRY)));
         };
+        let own_rank = workspace.as_ref().and_then(|workspace| workspace.priority);
+        let rank = own_rank.unwrap_or(route.priority);
         let engine = table.service(&service).and_then(|spec| spec.engine.as_ref());
         let call = CallContext {
             id: id.clone(),
@@ -91,7 +94,9 @@
             target: request.target.clone(),
             headers: end_to_end(&request.headers),
             body,
-            priority: engine.map(|_| route.priority.min(9)),
+            priority: engine.map(|_| rank.min(9)),
+            rank,
+            workspace,
             event_tokens: engine.map_or(1, |engine| engine.event_tokens),
             service,
             arrived,
@@ -103,24 +108,4 @@
         let is_turn = call.route.retention.is_some();
         Ok((call, is_turn))
     }
-
-    async fn find_route(
-        &self,
-        request: &CallerRequest,
-    ) -> Result<(Rc<RouteTable>, Rc<RouteSpec>), Refusal> {
-        let find = |table: &Rc<RouteTable>| table.find(&request.host, request.path()).cloned();
-        let Some(table) = self.news.routes() else {
-            return Err(Refusal::not_run("no_routes_yet", NO_ROUTES_RETRY));
-        };
-        if let Some(route) = find(&table) {
-            return Ok((table, route));
-        }
-        let fresh = self.news.refresh_routes().await;
-        let table = self.news.routes().unwrap_or(table);
-        match find(&table) {
-            Some(route) => Ok((table, route)),
-            None if fresh => Err(Refusal::rejected(StatusCode::NOT_FOUND, "no_such_route")),
-            None => Err(Refusal::not_run("routes_uncertain", NO_ROUTES_RETRY)),
-        }
-    }
 }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -12,6 +12,7 @@
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord};
 use crate::core::upstreams::UpstreamChoice;
+use crate::core::workspaces::owned_name;
 use crate::gateway::attempt::{AttemptLog, chain_body};
 use crate::gateway::events::EventParser;
 use crate::gateway::refusal::Refusal;
@@ -43,6 +44,31 @@
     pub(super) reservation: TurnReservation,
 }
 
+/// What the system calls a turn: its caller's names, kept apart by workspace.
+struct TurnNames {
+    program: ProgramName,
+    turn: TurnId,
+    previous: Option<TurnId>,
+}
+
+impl TurnNames {
+    /// None if the call names no program.
+    fn of(call: &CallContext) -> Option<Self> {
+        let workspace = call.workspace.as_ref().map(|workspace| &workspace.name);
+        let own = |name: &str| owned_name(workspace, name);
+        Some(Self {
+            program: own(call.head.program.as_deref()?),
+            turn: own(&call.id),
+            previous: call.head.previous.as_deref().map(own),
+        })
+    }
+
+    fn longest(&self) -> usize {
+        let previous = self.previous.as_ref().map_or(0, |previous| previous.len());
+        self.program.len().max(self.turn.len()).max(previous)
+    }
+}
+
 impl Gateway {
     /// Reads the chain, sets the turn's tokens aside, and puts the chain before the call's input.
     pub(super) async fn prepare_turn(
@@ -51,18 +77,18 @@
         log: &AttemptLog,
     ) -> Result<TurnWork, Refusal> {
         let bad = |reason| Refusal::rejected(StatusCode::BAD_REQUEST, reason);
-        let program = call.head.program.clone().ok_or_else(|| bad("no_program"))?;
-        if call.id.len() > MAX_NAME_BYTES || program.len() > MAX_NAME_BYTES {
+        let names = TurnNames::of(call).ok_or_else(|| bad("no_program"))?;
+        if names.longest() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
-        if call.head.previous.is_none() {
-            self.admit(call, &program)?;
+        if names.previous.is_none() {
+            self.admit(call, &names.program)?;
         }
-        let ClaimedTurn { chain, reservation } = self.claim_turn(call, &program, log).await?;
+        let ClaimedTurn { chain, reservation } = self.claim_turn(call, &names, log).await?;
         let input = call.body.clone();
         call.holder = self.chain_holder(&chain);
         call.body = chain_body(&chain.turns, &input);
-        let previous = call.head.previous.clone();
+        let previous = names.previous;
         Ok(TurnWork { previous, origin: chain.origin, input, reservation })
     }
 
@@ -74,7 +100,7 @@
         let request = AdmissionRequest {
             service: &call.service,
             program,
-            priority: call.route.priority,
+            priority: call.rank,
             now: Instant::now(),
         };
         let reply = self.gate.borrow_mut().admit(&request);
@@ -86,7 +112,7 @@
              share={share:.2} excess_ms={} retry_ms={}",
             call.id,
             call.service,
-            call.route.priority,
+            call.rank,
             excess.as_millis(),
             retry_after.as_millis()
         );
@@ -104,14 +130,14 @@
     async fn claim_turn(
         &self,
         call: &CallContext,
-        program: &ProgramName,
+        names: &TurnNames,
         log: &AttemptLog,
     ) -> Result<ClaimedTurn, Refusal> {
         let retention = call.route.retention.unwrap_or_default();
         let claim = TurnClaim {
-            program: program.clone(),
-            turn: call.id.clone(),
-            previous: call.head.previous.clone(),
+            program: names.program.clone(),
+            turn: names.turn.clone(),
+            previous: names.previous.clone(),
             most: call.head.max_output.unwrap_or(0),
             budget: call.head.token_budget.unwrap_or(Tokens::MAX),
             // It is kept from its end on, which is not written apart.
@@ -119,7 +145,7 @@
         };
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
         let coordinated = self.settings.uses(GatewayMechanism::Coordinators);
-        let peer = coordinated.then(|| self.members.coordinator(program)).flatten();
+        let peer = coordinated.then(|| self.members.coordinator(&names.program)).flatten();
         log.coordinator.replace(peer.clone());
         let claimed = self.claim_through_outage(call, peer, claim, limit).await;
         log.claimed_after.set(Some(call.arrived.elapsed()));
@@ -129,7 +155,7 @@
             Err(ClaimError::NoSuchTurn) => "no_such_turn",
             Err(ClaimError::Store(_) | ClaimError::Doubtful(_)) => "store_failed",
         });
-        claimed.map_err(|error| self.claim_refusal(call, program, error))
+        claimed.map_err(|error| self.claim_refusal(call, &names.program, error))
     }
 
     /// Claims a turn; if the whole store is away, as soon as it is back, for as long as the caller has
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -10,10 +10,11 @@
     ChangesReply, CommitReply, RangeReply, RowRange, RowTransaction, RowVersion, StoreCall,
     StoredRow,
 };
-use crate::core::ids::{RequestId, Tokens, UpstreamId};
+use crate::core::ids::{RequestId, Tokens, UpstreamId, WorkspaceId};
 use crate::core::routing::RouteTable;
 use crate::core::turns::{ProgramName, TurnId};
 use crate::core::upstreams::{PromptPart, UpstreamEntry};
+use crate::core::workspaces::ApiKey;
 use crate::node::platform::StoreError;
 
 /// What a caller's request says about itself, apart from method, path and body.
@@ -37,6 +38,8 @@
     /// The turn this one continues from.
     pub previous: Option<TurnId>,
     pub parts: Vec<PromptPart>,
+    /// By which the caller shows its workspace.
+    pub key: Option<ApiKey>,
 }
 
 /// A head that no configuration makes acceptable.
@@ -56,6 +59,8 @@
     pub deadline: Duration,
     /// 0 is the most urgent, 9 the least; absent where no order is wanted.
     pub priority: Option<u8>,
+    /// Whose request it is; none where nobody had to show a key.
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// What an upstream's answer says about itself.
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -45,7 +45,7 @@
 use turns::TurnKeeper;
 
 pub use run::{GatewaySockets, RunningGateway, launch_gateway};
-pub use settings::{GatewayMechanism, GatewaySettings};
+pub use settings::{GatewayMechanism, GatewaySettings, QuotaWay};
 
 /// One running gateway. All its tasks share it on one thread.
 pub(crate) struct Gateway {
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::sync::Notify;
+use tokio::sync::{Mutex, Notify};
 use tokio::time::Instant;
 
 use self::table_log::NewsLog;
@@ -23,7 +23,7 @@
 use super::rows::{RowVersion, StoredRow};
 use super::store::StoreLink;
 use crate::core::ids::UpstreamId;
-use crate::core::routing::{RouteTable, TableNews, TableView};
+use crate::core::routing::{RouteTable, TableNews, TableVersion, TableView};
 use crate::core::upstreams::{ListNews, UpstreamEntry, UpstreamTable};
 use crate::util::pause::ClockMark;
 
@@ -34,6 +34,10 @@
 /// unknown route went to the store (0.08 of 1.38 calls a turn, counted at 295 instances).
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// How long a failed question answers requests that need the newest routes: five questions a second at
+/// the most, against the ten or so that a busy instance asks the store anyway.
+const REFRESH_PAUSE: Duration = Duration::from_millis(200);
+
 /// What the instance knows from the store's news.
 pub(crate) struct StoreNews {
     store: Rc<StoreLink>,
@@ -56,6 +60,10 @@
     led: Cell<bool>,
     /// Tells of the end of that.
     released: Notify,
+    /// Held while the routes are read for requests that wait.
+    refresh: Mutex<()>,
+    /// When that last failed, unless it has succeeded since.
+    refresh_failed: Cell<Option<Instant>>,
 }
 
 impl StoreNews {
@@ -79,6 +87,8 @@
             changed: Notify::new(),
             led: Cell::new(false),
             released: Notify::new(),
+            refresh: Mutex::new(()),
+            refresh_failed: Cell::new(None),
         }
     }
 
@@ -103,15 +113,41 @@
 
     /// Reads the routes again unless that was done just now; false if they cannot be had.
     ///
-    /// An instance that was paused, or whose news were late, would deny a route that was added
-    /// meanwhile.
+    /// An instance that was paused, or whose news were late, would deny a route or a key that was added
+    /// meanwhile. All that ask at a time share one question, and one that failed answers those of
+    /// the next moment too: a flood of unknown keys makes five questions a second, not one each.
     pub(crate) async fn refresh_routes(&self) -> bool {
+        if self.has_fresh_routes() {
+            return true;
+        }
+        let _turn = self.refresh.lock().await;
+        if self.has_fresh_routes() {
+            return true;
+        }
+        if self.refresh_failed.get().is_some_and(|at| at.elapsed() < REFRESH_PAUSE) {
+            return false;
+        }
+        let read = self.read_routes().await.is_ok();
+        self.refresh_failed.set((!read).then(Instant::now));
+        read
+    }
+
+    fn has_fresh_routes(&self) -> bool {
         let confirmed = self.routes.borrow().confirmed();
         let paused = self.routes_asked.get().is_some_and(|asked| asked.is_paused());
-        if confirmed.is_some_and(|at| at.elapsed() < FRESH) && !paused {
-            return true;
+        confirmed.is_some_and(|at| at.elapsed() < FRESH) && !paused
+    }
+
+    /// Reads the routes if they are older than a version that a peer has, however lately they were
+    /// confirmed: a reader that is a little behind confirms them too.
+    pub(crate) async fn catch_up(&self, heard: TableVersion) {
+        let _turn = self.refresh.lock().await;
+        let version = self.routes().map_or(TableVersion::MAX, |table| table.version);
+        if version < heard
+            && let Err(error) = self.read_routes().await
+        {
+            log::info!("event=routes_behind version={version} heard={heard} error=\"{error}\"");
         }
-        self.read_routes().await.is_ok()
     }
 
     /// Takes all rows of the routes' table.
@@ -153,11 +189,18 @@
             }
         };
         let (version, routes) = (table.version, table.route_count());
-        if self.routes.borrow_mut().offer(table) == TableNews::Applied {
-            log::info!(
-                "event=routes_applied version={version} routes={routes} led={}",
-                self.is_led()
-            );
+        if self.routes.borrow_mut().offer(table) == TableNews::Old {
+            return;
+        }
+        let table = self.routes.borrow().current();
+        let workspaces = table.as_ref().and_then(|table| table.workspaces());
+        log::info!(
+            "event=routes_applied version={version} routes={routes} workspaces={} led={}",
+            workspaces.map_or("open".into(), |workspaces| workspaces.len().to_string()),
+            self.is_led()
+        );
+        for problem in workspaces.map_or(&[][..], |workspaces| workspaces.problems()) {
+            log::error!("event=key_unusable version={version} problem=\"{problem}\"");
         }
     }
 
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
-use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, WWW_AUTHENTICATE};
 use bytes::Bytes;
 
 use super::http::ReadError;
@@ -51,6 +51,9 @@
     pub(crate) fn headers(&self) -> HeaderMap {
         let mut headers = HeaderMap::new();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if self.status == StatusCode::UNAUTHORIZED {
+            headers.insert(WWW_AUTHENTICATE, HeaderValue::from_static("ApiKey"));
+        }
         if let Some(wait) = self.retry_after {
             let seconds = format!("{:.2}", wait.as_secs_f64());
             let value = seconds.parse().expect("numbers are header values");
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -181,8 +181,9 @@
     async fn follow_heads(&self) {
         let version = self.news.routes().map_or(0, |table| table.version);
         self.members.set_head(version);
-        if self.members.heard_head() > version && version > 0 {
-            self.news.refresh_routes().await;
+        let heard = self.members.heard_head();
+        if heard > version && version > 0 {
+            self.news.catch_up(heard).await;
         }
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -43,11 +43,41 @@
     pub grace_seconds: f64,
     /// Longest time callers keep a list of addresses, in seconds.
     pub address_keep_seconds: f64,
+    /// Whether callers' keys stop counting once they have not been confirmed for
+    /// `revoke_millis`; no if absent.
+    #[serde(default)]
+    pub strict_revoke: Option<bool>,
+    /// Longest time a key may count that was taken away.
+    #[serde(default)]
+    pub revoke_millis: Option<u64>,
+    /// Window in which a workspace's requests are counted against its limit, in seconds.
+    #[serde(default)]
+    pub quota_window_seconds: Option<f64>,
+    /// Part of a workspace's limit by which a window may exceed it; 0 if absent.
+    #[serde(default)]
+    pub quota_over: Option<f64>,
+    /// Requests by which a window may exceed a limit besides; 0 if absent.
+    #[serde(default)]
+    pub quota_slack: Option<f64>,
+    /// How limits are kept over all instances.
+    #[serde(default)]
+    pub quota_way: QuotaWay,
     /// Mechanisms to do without, to measure what they are worth; none in service.
     #[serde(default)]
     pub without: BTreeSet<GatewayMechanism>,
 }
 
+/// How a workspace's limit is kept over all instances.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum QuotaWay {
+    /// One member counts for all.
+    #[default]
+    Limiter,
+    /// Each instance has an equal part of the limit.
+    Shares,
+}
+
 /// A mechanism that serves callers better and that no promise rests on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -70,6 +100,8 @@
     SilenceAvoidance,
     /// Engines whose events come slowly are avoided.
     PaceAvoidance,
+    /// A program's first request is held to what all of them are expected to need.
+    ProgramQuota,
     /// Prompts go where their parts have been read.
     PromptPlacement,
 }
@@ -123,9 +155,32 @@
                 return Err(invalid(key, &value.to_string(), "above 0 and below 3600"));
             }
         }
+        let window = self.quota_window_seconds;
+        if let Some(value) = window.filter(|value| !(*value > 0.0 && *value < 3_600.0)) {
+            return Err(invalid(
+                "quota_window_seconds",
+                &value.to_string(),
+                "above 0 and below 3600",
+            ));
+        }
+        let margins = [("quota_over", self.quota_over), ("quota_slack", self.quota_slack)];
+        for (key, value) in margins {
+            if let Some(value) = value.filter(|value| !(*value >= 0.0 && value.is_finite())) {
+                return Err(invalid(key, &value.to_string(), "0 or more"));
+            }
+        }
+        if self.strict_revoke == Some(true) && self.revoke_millis.is_none() {
+            return Err(invalid("revoke_millis", "", "set where strict_revoke is true"));
+        }
         Ok(())
     }
 
+    /// How old the keys known here may be; none where they count however old they are.
+    pub(crate) fn strict_key_age(&self) -> Option<Duration> {
+        let strict = self.strict_revoke.unwrap_or(false);
+        self.revoke_millis.filter(|_| strict).map(Duration::from_millis)
+    }
+
     fn addresses(&self) -> [(&'static str, &str); 5] {
         [
             ("caller_address", &self.caller_address),
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -8,6 +8,7 @@
 use actix_http::header::{HeaderMap, HeaderName, HeaderValue};
 use bytes::Bytes;
 use merlinsaddle::core::upstreams::UpstreamState;
+use merlinsaddle::core::workspaces::ApiKey;
 use merlinsaddle::gateway::dialect::{AttemptHead, GatewayDialect};
 use merlinsaddle::gateway::rows::{
     ChangesReply, CommitReply, RowKey, RowRange, RowTransaction, StoredRow,
@@ -41,6 +42,7 @@
         ("Merlinsaddle-Token-Usage", "1840, 136"),
         ("Merlinsaddle-Previous-Turn", "r0"),
         ("Merlinsaddle-Prompt-Prefix", "5c1e:800, 91bd:410,broken,e4:250"),
+        ("Merlinsaddle-Key", "s3cret"),
     ]));
     insta::assert_debug_snapshot!(head, @r#"
     Ok(
@@ -80,6 +82,9 @@
                     tokens: 410,
                 },
             ],
+            key: Some(
+                ApiKey(..),
+            ),
         },
     )
     "#);
@@ -91,6 +96,7 @@
 #[case(&[("Merlinsaddle-Deadline-Ms", "1e300")])]
 #[case(&[("Merlinsaddle-Token-Budget", "-5")])]
 #[case(&[("Merlinsaddle-Token-Usage", "7")])]
+#[case(&[("Merlinsaddle-Key", "a"), ("Merlinsaddle-Key", "a")])]
 fn bad_heads_name_their_field(#[case] pairs: &[(&str, &str)]) {
     let error = PlatformDialect.call_head(&headers(pairs)).expect_err("a bad head");
     assert!(error.to_string().contains(&pairs[0].0.to_ascii_lowercase()), "{error}");
@@ -103,6 +109,8 @@
         ("Merlinsaddle-Request-Id", "r1"),
         ("Merlinsaddle-Deadline-Ms", "9999"),
         ("Merlinsaddle-Hold", "forged"),
+        ("Merlinsaddle-Key", "s3cret"),
+        ("Merlinsaddle-Tenant", "forged"),
         ("X-Own", "1"),
         ("X-Own", "2"),
     ]);
@@ -110,6 +118,7 @@
         expect: "i-1".into(),
         deadline: Duration::from_millis(1_234),
         priority: Some(2),
+        workspace: Some("acme".into()),
     };
     let sent = PlatformDialect.upstream_headers(&caller, &attempt);
     let mut lines: Vec<String> =
@@ -122,6 +131,7 @@
         "merlinsaddle-expect-instance: i-1",
         "merlinsaddle-request-id: r1",
         "merlinsaddle-request-priority: 2",
+        "merlinsaddle-tenant: acme",
         "x-own: 1",
         "x-own: 2",
     ]
@@ -143,7 +153,8 @@
     {"name":"a","host":"h","path-prefix":"/a/","kind":"stream","timeout-ms":6000,"goal-ms":250,
      "priority":1,"split":[{"service":"s","weight":90},{"service":"t","weight":10}],
      "max-attempts":2,"retained":true,"retain-s":60.0,"sticky":true,"new-field":1},
-    {"name":"b","host":"h","path-prefix":"/b/","kind":"unsafe","timeout-ms":1500,"service":"t"}],
+    {"name":"b","host":"h","path-prefix":"/b/","kind":"unsafe","timeout-ms":1500,"service":"t",
+     "public":true}],
     "services":[{"name":"s","max-conns":480,"engine":{"slots":96,"event-tokens":2}},
                 {"name":"t","max-conns":96}],
     "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
@@ -188,6 +199,7 @@
                 retention: Some(
                     60s,
                 ),
+                is_open: false,
             },
         ),
         Some(
@@ -208,6 +220,7 @@
                 max_attempts: 1,
                 sticky: false,
                 retention: None,
+                is_open: true,
             },
         ),
     )
@@ -401,3 +414,93 @@
     assert_eq!(reply["addresses"].as_array().map(Vec::len), Some(64));
     assert_eq!(reply["ttl-s"], 1.0);
 }
+
+const WORKSPACES: &str = r#"{"version":7,"routes":[],"services":[],
+    "limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,
+              "idle-timeout-ms":15000},
+    "tenants":[{"name":"acme","api-keys":["k1","k2"],"priority":1,"rate-per-s":20,"burst":30},
+               {"name":"free","api-keys":["k3"]},{"name":"locked"}]}"#;
+
+#[test]
+fn workspaces_are_decoded_and_print_no_key() {
+    let table = PlatformDialect.route_table(&row("config", Some(WORKSPACES)));
+    let table = table.expect("it is valid").expect("it is the configuration");
+    let workspaces = table.workspaces().expect("it names some");
+    let names: Vec<_> = ["k1", "k2", "k3", "k4"]
+        .map(|key| workspaces.holder(&ApiKey::new(key)).map(|holder| holder.name.clone()))
+        .into();
+    insta::assert_debug_snapshot!(
+        (names, workspaces.get("acme"), workspaces.get("free"), workspaces.get("locked")),
+        @r#"
+    (
+        [
+            Some(
+                "acme",
+            ),
+            Some(
+                "acme",
+            ),
+            Some(
+                "free",
+            ),
+            None,
+        ],
+        Some(
+            WorkspaceSpec {
+                name: "acme",
+                keys: [
+                    ApiKey(..),
+                    ApiKey(..),
+                ],
+                priority: Some(
+                    1,
+                ),
+                quota: Some(
+                    QuotaTerms {
+                        rate: 20.0,
+                        burst: 30.0,
+                    },
+                ),
+            },
+        ),
+        Some(
+            WorkspaceSpec {
+                name: "free",
+                keys: [
+                    ApiKey(..),
+                ],
+                priority: None,
+                quota: None,
+            },
+        ),
+        Some(
+            WorkspaceSpec {
+                name: "locked",
+                keys: [],
+                priority: None,
+                quota: None,
+            },
+        ),
+    )
+    "#
+    );
+    let printed = format!("{table:?}");
+    for key in ["k1", "k2", "k3"] {
+        assert!(!printed.contains(key), "{printed}");
+    }
+}
+
+/// The operator's tool writes a key where a list is expected, or spells a number as the key. The
+/// error goes to the log, which more people read than may know keys: it names the place and leaves
+/// out what stands there.
+#[rstest]
+#[case(r#"{"version":1,"routes":[],"services":[],"limits":{},"tenants":[{"name":"a","api-keys":"s3cret"}]}"#)]
+#[case(r#"{"version":1,"routes":[],"services":[],"limits":{},"tenants":[{"name":"a","priority":"s3cret"}]}"#)]
+#[case(r#"{"version":1,"routes":[],"services":[],"limits":{},"tenants":["s3cret"]}"#)]
+#[case(r#"{"version":1,"tenants":[{"name":"a","api-keys":["s3cret"#)]
+fn an_unreadable_configuration_tells_no_key(#[case] text: &str) {
+    let error = PlatformDialect.route_table(&row("config", Some(text))).expect_err("it is bad");
+    let text = error.to_string();
+    assert!(!text.contains("s3cret"), "{text}");
+    assert!(text.contains("line 1 column"), "{text}");
+}
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -72,6 +72,16 @@
         self.state.borrow().runs.clone()
     }
 
+    /// Drops what was to happen next.
+    pub fn forget_acts(&self) {
+        self.state.borrow_mut().acts.clear();
+    }
+
+    /// Forgets what has run so far.
+    pub fn forget_runs(&self) {
+        self.state.borrow_mut().runs.clear();
+    }
+
     /// Requests that have come, run or not.
     pub fn seen(&self) -> u32 {
         self.state.borrow().seen
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -281,6 +281,26 @@
     pub fn set_routes(&self, version: u64, routes: &[Value]) {
         self.store.put("op", "config", &manifest(version, routes));
     }
+
+    /// Sets who may ask.
+    pub fn set_workspaces(&self, version: u64, workspaces: &[Value]) {
+        let mut manifest = manifest(version, &default_routes());
+        manifest["tenants"] = workspaces.into();
+        self.store.put("op", "config", &manifest);
+    }
+
+    /// Sets who may ask, and waits until the first gateway asks for keys.
+    pub async fn with_workspaces(self, workspaces: &[Value]) -> Self {
+        self.set_workspaces(2, workspaces);
+        for gateway in &self.gateways {
+            wait_until("keys are asked for", async || {
+                gateway.call(&call("book", "probe")).await.status() == 401
+            })
+            .await;
+        }
+        self.engines.iter().for_each(StandinEngine::forget_runs);
+        self
+    }
 }
 
 /// Settings of instances that do all of their programs' work themselves, so that they conflict.
@@ -315,6 +335,30 @@
     })
 }
 
+/// A workspace whose key is `key-` and its name.
+pub fn workspace(name: &str) -> Value {
+    json!({ "name": name, "api-keys": [format!("key-{name}")] })
+}
+
+/// A workspace that may ask so much.
+pub fn limited(name: &str, rate: f64, burst: f64) -> Value {
+    let mut limited = workspace(name);
+    limited["rate-per-s"] = rate.into();
+    limited["burst"] = burst.into();
+    limited
+}
+
+/// The same request with a key, and whatever else a caller adds.
+pub fn keyed(request: &str, headers: &str) -> String {
+    let (start, rest) = request.split_once("\r\n").expect("it has a first line");
+    format!("{start}\r\n{headers}\r\n{rest}")
+}
+
+/// The same request from a workspace of [`workspace`].
+pub fn from(workspace: &str, request: &str) -> String {
+    keyed(request, &format!("Merlinsaddle-Key: key-{workspace}"))
+}
+
 pub fn route(name: &str, kind: &str) -> Value {
     json!({
         "name": name, "host": HOST, "path-prefix": format!("/{name}/"), "kind": kind,
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -28,6 +28,7 @@
         max_attempts: 1,
         sticky: false,
         retention: None,
+        is_open: false,
     }
 }
 
