--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,7 @@
 pub mod check;
 pub mod engine;
 pub mod gateway;
+pub mod limits;
 pub mod load;
 pub mod members;
 pub mod program;
--- a/src/core/members/spread.rs
+++ b/src/core/members/spread.rs
@@ -68,6 +68,7 @@
         let about_me = update.incarnation == self.me.incarnation;
         if wrong && about_me && update.revision >= self.me.revision {
             self.me.revision = update.revision;
+            self.doubts += 1;
             self.bump_me();
         }
     }
--- a/src/core/members/table.rs
+++ b/src/core/members/table.rs
@@ -100,6 +100,7 @@
     sequence: u32,
     pub(super) rng: SmallRng,
     pub(super) changes: u64,
+    pub(super) doubts: u64,
 }
 
 /// A tick this much later than planned means that this process was paused.
@@ -125,6 +126,7 @@
             sequence: rng.random(),
             rng,
             changes: 0,
+            doubts: 0,
         }
     }
 
@@ -137,6 +139,11 @@
         self.changes
     }
 
+    /// Rises whenever others thought that this instance had failed, and it refuted that.
+    pub fn doubts(&self) -> u64 {
+        self.doubts
+    }
+
     pub fn get(&self, instance: &str) -> Option<&MemberInfo> {
         if *instance == *self.me.instance {
             return Some(&self.me);
@@ -174,6 +181,12 @@
         others.into_iter().map(|seed| self.send(seed, 0, GossipBody::Join)).collect()
     }
 
+    /// Asks any member for everybody.
+    pub fn ask_around(&mut self) -> Vec<MemberAction> {
+        let any = self.random_members(1, None);
+        any.into_iter().map(|to| self.send(to, 0, GossipBody::Join)).collect()
+    }
+
     /// Announces that this instance leaves; the news goes to a few members at once.
     pub fn leave(&mut self, now: Instant) -> Vec<MemberAction> {
         self.me.state = MemberState::Leaving;
--- /dev/null
+++ b/src/core/quotas/desk.rs
@@ -0,0 +1,195 @@
+//! The limits that one instance keeps for all.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::limiter::{LimitTerms, LimiterRole, QuotaAsk, WorkspaceLimiter};
+use super::view::QuotaView;
+use super::{QuotaBounds, QuotaReply, QuotaTerms};
+use crate::core::ids::WorkspaceId;
+
+/// Pairs a reply with its question; drawn at random.
+pub type AskId = u64;
+
+/// How long an answer is remembered, so that a question that is repeated is not counted twice: longer
+/// than any asker repeats its own.
+const ANSWER_MEMORY: Duration = Duration::from_secs(1);
+/// How long a limiter that has taken over gives out half of its share. Where a network falls apart, it
+/// takes some two seconds until each piece knows how small it is; that long the former limiter and
+/// this one both give out more than their part.
+const SETTLING: Duration = Duration::from_secs(2);
+
+/// A limit in force, as an operator sees it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct LimitSample {
+    pub workspace: WorkspaceId,
+    /// Requests a second.
+    pub rate: f64,
+    /// Requests beyond that at once.
+    pub burst: f64,
+    /// Requests that may go on now; below zero where some wait.
+    pub level: f64,
+    /// Requests refused here so far.
+    pub refused: u64,
+    /// Whether this instance limits the workspace for all.
+    pub chief: bool,
+}
+
+/// One limiter and what it was last told.
+#[derive(Debug)]
+struct HeldLimiter {
+    limiter: WorkspaceLimiter,
+    /// As the members stood when it was last asked.
+    limit: LimitTerms,
+    /// When it took over from another one.
+    taken_over: Option<Instant>,
+}
+
+impl HeldLimiter {
+    /// The limit as it is applied now: half of it while another one may not know yet.
+    fn applied(&self, now: Instant) -> LimitTerms {
+        let age = self.taken_over.map(|at| now.saturating_duration_since(at));
+        let role = match self.limit.role {
+            LimiterRole::Chief { share } if age.is_some_and(|age| age < SETTLING) => {
+                LimiterRole::Chief { share: share / 2.0 }
+            }
+            role => role,
+        };
+        LimitTerms { role, ..self.limit }
+    }
+}
+
+/// A question about one request.
+#[derive(Debug, Clone, Copy)]
+pub struct QuotaQuestion<'a> {
+    /// The same for each time it is asked.
+    pub id: AskId,
+    pub workspace: &'a WorkspaceId,
+    pub ask: QuotaAsk,
+    /// The workspace's limit by the configuration in force here.
+    pub quota: QuotaTerms,
+}
+
+/// Answers whoever asks, and forgets what it has given out when the members say that another one
+/// limits a workspace, or when the process was paused.
+#[derive(Debug)]
+pub struct LimiterDesk {
+    bounds: QuotaBounds,
+    by_program: bool,
+    chiefs: HashMap<WorkspaceId, HeldLimiter>,
+    deputies: HashMap<WorkspaceId, HeldLimiter>,
+    answers: HashMap<AskId, (Instant, QuotaReply)>,
+    /// The members by which the chiefs were last looked through.
+    viewed: Option<Instant>,
+    /// Nothing given out before is known.
+    since: Instant,
+}
+
+impl LimiterDesk {
+    /// `by_program` tells whether first requests are held to what their programs need.
+    pub fn new(bounds: QuotaBounds, by_program: bool, now: Instant) -> Self {
+        Self {
+            bounds,
+            by_program,
+            chiefs: HashMap::new(),
+            deputies: HashMap::new(),
+            answers: HashMap::new(),
+            viewed: None,
+            since: now,
+        }
+    }
+
+    /// Forgets everything after a pause. Meanwhile another one has taken over, and buckets that went on
+    /// filling would give out their bursts a second time.
+    pub fn restart(&mut self, now: Instant) {
+        *self = Self::new(self.bounds, self.by_program, now);
+    }
+
+    /// Decides about a request; whether this instance limits the workspace for all.
+    pub fn decide(
+        &mut self,
+        question: QuotaQuestion<'_>,
+        view: &QuotaView,
+        now: Instant,
+    ) -> (QuotaReply, bool) {
+        self.look_around(view, now);
+        let role = view.role(question.workspace, now);
+        let chief = role != LimiterRole::Deputy;
+        if let Some((_, reply)) = self.answers.get(&question.id) {
+            return (*reply, chief);
+        }
+        let by_program = self.by_program;
+        let held = self.limiter(&question, role, view, now);
+        let reply = held.limiter.ask(question.ask, held.applied(now), by_program, now);
+        self.answers.insert(question.id, (now, reply));
+        (reply, chief)
+    }
+
+    /// The limiter of a workspace, with the limit as the members stand.
+    fn limiter(
+        &mut self,
+        question: &QuotaQuestion<'_>,
+        role: LimiterRole,
+        view: &QuotaView,
+        now: Instant,
+    ) -> &mut HeldLimiter {
+        let limit = LimitTerms { quota: question.quota, bounds: self.bounds, role };
+        let taken_over = view.taken_over(question.workspace);
+        // Nobody has asked since it is this one's, so nothing was given out.
+        let (empty, held) = match role {
+            LimiterRole::Chief { .. } => {
+                (self.since.max(taken_over.unwrap_or(self.since)), &mut self.chiefs)
+            }
+            LimiterRole::Deputy => (now, &mut self.deputies),
+        };
+        let fresh = || {
+            let limiter = WorkspaceLimiter::new(empty, limit, now);
+            HeldLimiter { limiter, limit, taken_over }
+        };
+        let held = held.entry(question.workspace.clone()).or_insert_with(fresh);
+        held.limit = limit;
+        held
+    }
+
+    /// Takes back a place; one of a limiter that is no longer here is lost.
+    pub fn give_back(&mut self, workspace: &str, ask: QuotaAsk, now: Instant) {
+        if let Some(held) = self.chiefs.get_mut(workspace) {
+            held.limiter.give_back(ask, held.applied(now));
+        }
+    }
+
+    /// To be called often: follows the members and forgets old answers.
+    pub fn tick(&mut self, view: &QuotaView, now: Instant) {
+        self.look_around(view, now);
+        self.answers.retain(|_, (at, _)| now.saturating_duration_since(*at) < ANSWER_MEMORY);
+    }
+
+    /// Drops the limiters of workspaces that have gone to another member: come back later, they begin
+    /// empty, as the other one gives out the limit meanwhile.
+    fn look_around(&mut self, view: &QuotaView, now: Instant) {
+        if self.viewed == Some(view.changed()) {
+            return;
+        }
+        self.viewed = Some(view.changed());
+        self.chiefs.retain(|workspace, _| view.role(workspace, now) != LimiterRole::Deputy);
+    }
+
+    /// The limits in force here, by name.
+    pub fn samples(&self, now: Instant) -> Vec<LimitSample> {
+        let sample = |(workspace, held): (&WorkspaceId, &HeldLimiter)| LimitSample {
+            workspace: workspace.clone(),
+            rate: held.limit.quota.rate,
+            burst: held.limit.quota.burst,
+            level: held.limiter.level(held.applied(now), now),
+            refused: held.limiter.refused(),
+            chief: held.limit.role != LimiterRole::Deputy,
+        };
+        let held = self.chiefs.iter().chain(&self.deputies);
+        let mut samples: Vec<_> = held.map(sample).collect();
+        samples.sort_by(|a, b| (&a.workspace, b.chief).cmp(&(&b.workspace, a.chief)));
+        samples
+    }
+}
--- a/src/core/quotas/limiter.rs
+++ b/src/core/quotas/limiter.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
 use super::bucket::{BucketPace, TokenBucket};
@@ -13,11 +14,16 @@
 /// Part of the margin that a deputy holds at once, and gives out again in a window: half of the margin
 /// together, which is the half that the limiter leaves.
 const DEPUTY_MARGIN: f64 = 0.25;
-/// How long a request may wait for its place: a quarter of the shortest objective of a call (250 ms)
-/// and more costs less than a refusal, after which the caller comes back no sooner.
-const HOLD: Duration = Duration::from_millis(250);
+/// How long a new program may wait for its place, and a request of one that is under way. A call that is
+/// refused twice or three times ends its program, so it waits while the next ones are not yet late for
+/// that; a program that is refused at its start has lost nothing, and is told so at once.
+const OPENING_HOLD: Duration = Duration::from_millis(250);
+const HOLD: Duration = Duration::from_millis(500);
 /// Requests of a program where none has been seen: three to seven turns with some two calls each.
 const NEED_PRIOR: f64 = 12.0;
+/// Most that a program is taken to need: calls that belong to no program count like those of one, and
+/// would make each the dearer. The longest have some 60 turns.
+const NEED_MOST: f64 = 60.0;
 /// Programs that the prior counts for.
 const NEED_WEIGHT: f64 = 4.0;
 /// Time over which requests and programs are counted, fading: some programs of a workspace with one
@@ -25,7 +31,10 @@
 const NEED_FADE: Duration = Duration::from_secs(20);
 /// Part of the rate that new programs may plan with. What is left takes up programs that need more
 /// than the mean: at all of it, programs under way were refused.
-const PLANNED_SHARE: f64 = 0.95;
+const PLANNED_SHARE: f64 = 0.9;
+/// Programs that may begin at once however small the limit is: callers of a small workspace come in
+/// threes now and then.
+const PROGRAMS_AT_ONCE: f64 = 3.0;
 /// Shortest and longest time after which a refused request is told to come back. Callers wait up to a
 /// third of their time, 1.7 s of the longest objective; what comes later than that is not waited for.
 const RETRY_LEAST: Duration = Duration::from_millis(100);
@@ -67,16 +76,19 @@
         }
     }
 
-    /// What new programs may need: beyond the bucket, half of what the limit gives in a window.
-    fn program_pace(&self) -> BucketPace {
+    /// What new programs may need that have so many requests each: in a window as much as the limit
+    /// holds there, and always some of them at once.
+    fn program_pace(&self, need: f64) -> BucketPace {
         let calls = self.call_pace();
-        let ahead = calls.rate * self.bounds.window.as_secs_f64() / 2.0;
-        BucketPace { rate: calls.rate * PLANNED_SHARE, most: calls.most + ahead }
+        BucketPace {
+            rate: calls.rate * PLANNED_SHARE,
+            most: calls.most.max(PROGRAMS_AT_ONCE * need),
+        }
     }
 }
 
 /// What a request asks for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaAsk {
     /// Whether it is the first request of a program, which stands for all that follow.
     pub opens: bool,
@@ -103,9 +115,15 @@
         self.programs = self.programs * kept + f64::from(u8::from(opens));
     }
 
+    /// Takes back what was noted just now.
+    fn forget(&mut self, opens: bool) {
+        self.requests = (self.requests - 1.0).max(0.0);
+        self.programs = (self.programs - f64::from(u8::from(opens))).max(0.0);
+    }
+
     fn mean(&self) -> f64 {
         let requests = self.requests + NEED_PRIOR * NEED_WEIGHT;
-        (requests / (self.programs + NEED_WEIGHT)).max(1.0)
+        (requests / (self.programs + NEED_WEIGHT)).clamp(1.0, NEED_MOST)
     }
 }
 
@@ -145,12 +163,12 @@
 impl WorkspaceLimiter {
     /// A limiter that has been responsible since a moment, and whose workspace has asked nothing.
     pub fn new(since: Instant, limit: LimitTerms, now: Instant) -> Self {
+        let need = ProgramNeed::new(now);
         let mut calls = TokenBucket::new(0.0, since);
         calls.fill(limit.call_pace(), now);
         let mut programs = TokenBucket::new(0.0, since);
-        programs.fill(limit.program_pace(), now);
+        programs.fill(limit.program_pace(need.mean()), now);
         let back = ReturnQueue { next: now };
-        let need = ProgramNeed::new(now);
         Self { calls, programs, need, calls_back: back, programs_back: back, refused: 0 }
     }
 
@@ -163,19 +181,25 @@
         by_program: bool,
         now: Instant,
     ) -> QuotaReply {
-        let (calls, programs) = (limit.call_pace(), limit.program_pace());
+        let need = self.need.mean();
+        let (calls, programs) = (limit.call_pace(), limit.program_pace(need));
         self.calls.fill(calls, now);
         self.programs.fill(programs, now);
-        let need = self.need.mean().min(programs.most);
         let planned = self.programs.wait(need, programs);
-        if ask.opens && by_program && planned > HOLD {
+        if ask.opens && by_program && planned > OPENING_HOLD {
             self.refused += 1;
             let step = programs.time_for(need);
             let retry_after = self.programs_back.line_up(planned, step, now);
             return QuotaReply::Refused { retry_after };
         }
-        let Some(after) = self.calls.take(1.0, calls, HOLD) else {
+        let hold = if ask.opens { OPENING_HOLD } else { HOLD };
+        let Some(after) = self.calls.take(1.0, calls, hold) else {
             self.refused += 1;
+            // It was needed all the same: counted by what is let in alone, programs seem to need the
+            // less the more of their calls are refused, and ever more of them are begun.
+            if !ask.opens {
+                self.need.note(false, now);
+            }
             let step = calls.time_for(1.0);
             let retry_after = self.calls_back.line_up(self.calls.wait(1.0, calls), step, now);
             return QuotaReply::Refused { retry_after };
@@ -189,15 +213,20 @@
 
     /// Takes back a place that was granted lately and not used.
     pub fn give_back(&mut self, ask: QuotaAsk, limit: LimitTerms) {
+        // First of all it was never there, or less is put back than was charged.
+        self.need.forget(ask.opens);
         self.calls.put_back(1.0, limit.call_pace());
         if ask.opens {
-            self.programs.put_back(self.need.mean(), limit.program_pace());
+            let need = self.need.mean();
+            self.programs.put_back(need, limit.program_pace(need));
         }
     }
 
     /// Requests that may go on now; below zero where some wait.
-    pub fn level(&self) -> f64 {
-        self.calls.level()
+    pub fn level(&self, limit: LimitTerms, now: Instant) -> f64 {
+        let mut calls = self.calls;
+        calls.fill(limit.call_pace(), now);
+        calls.level()
     }
 
     pub fn refused(&self) -> u64 {
--- a/src/core/quotas/mod.rs
+++ b/src/core/quotas/mod.rs
@@ -6,14 +6,20 @@
 //! record. [`share`] is the other way that was weighed: each instance has its part of each limit.
 
 mod bucket;
+mod desk;
 mod limiter;
 mod share;
+mod view;
 
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 pub use bucket::{BucketPace, TokenBucket};
+pub use desk::{AskId, LimitSample, LimiterDesk, QuotaQuestion};
 pub use limiter::{LimitTerms, LimiterRole, QuotaAsk, WorkspaceLimiter};
 pub use share::QuotaShare;
+pub use view::{LimiterStanding, QuotaMember, QuotaView};
 
 /// The limit of one workspace.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -48,7 +54,8 @@
 }
 
 /// Whether a request may be sent on.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum QuotaReply {
     /// It may, after this pause.
     Granted { after: Duration },
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -2,6 +2,7 @@
 
 mod access;
 mod prepare;
+mod quota;
 mod relay;
 mod turn;
 
@@ -115,11 +116,10 @@
         };
         self.metrics.call_ended(&sample);
         log::info!(
-            "event=call_ended request={} workspace={} program={} route={} kind={} outcome={} status={} \
+            "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
              upstream={} tries={} runs={} coordinator={} claimed_ms={} sent_ms={} first_ms={} \
-             ms={}",
+             ms={} workspace={}",
             call.id,
-            call.workspace_name(),
             call.head.program.as_deref().unwrap_or("-"),
             call.route.name,
             call.route.kind,
@@ -133,6 +133,7 @@
             log.sent_after.get().map_or(0, |waited| waited.as_millis()),
             end.first.map_or(0, |first| first.as_millis()),
             elapsed.as_millis(),
+            call.workspace_name(),
         );
     }
 
@@ -174,6 +175,23 @@
         is_turn: bool,
         log: &AttemptLog,
         writer: &mut CallerWriter,
+    ) -> CallEnd {
+        let place = match self.take_place(call, is_turn).await {
+            Ok(place) => place,
+            Err(refusal) => return self.end_refused(&refusal, writer).await,
+        };
+        let end = self.run_admitted(call, is_turn, log, writer).await;
+        place.settle(log);
+        end
+    }
+
+    /// Runs a call for which there is room within its workspace's limit.
+    async fn run_admitted(
+        self: &Rc<Self>,
+        call: &mut CallContext,
+        is_turn: bool,
+        log: &AttemptLog,
+        writer: &mut CallerWriter,
     ) -> CallEnd {
         if !is_turn {
             return self.send_on(call, None, log, writer).await;
--- a/src/gateway/desk.rs
+++ b/src/gateway/desk.rs
@@ -7,6 +7,7 @@
 
 use super::Gateway;
 use super::news::NEWS_PATH;
+use super::quotas::LIMITS_PATH;
 use super::store::{RELAY_PATH, RelayError};
 use super::turns::{CLAIM_PATH, KEEP_PATH, SETTLE_PATH};
 use crate::util::http_server::{
@@ -67,6 +68,7 @@
                     body_response(status, BINARY, reply)
                 }
                 (&Method::GET, METRICS_PATH) => metrics(&gateway),
+                (&Method::GET, LIMITS_PATH) => limits(&gateway),
                 _ => text_response(StatusCode::NOT_FOUND, "no such page"),
             }
         }
@@ -89,6 +91,11 @@
     }
 }
 
+fn limits(gateway: &Gateway) -> HttpResponse {
+    let samples = serde_json::to_vec(&gateway.quotas.samples()).expect("samples serialize");
+    body_response(StatusCode::OK, JSON, samples.into())
+}
+
 fn metrics(gateway: &Gateway) -> HttpResponse {
     gateway.sample_metrics();
     let text: Bytes = gateway.metrics.exposition().into();
--- a/src/gateway/members.rs
+++ b/src/gateway/members.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::news::NewsReaders;
+use super::quotas::{QuotaMessage, QuotaPeers};
 use super::settings::GatewaySettings;
 use super::store::RelayPeers;
 use crate::core::ids::{ConfigVersion, InstanceId};
@@ -16,6 +17,7 @@
     GossipMessage, GroupPlace, MemberAction, MemberInfo, MemberLoad, MemberSettings, MemberState,
     MemberTable, group_place,
 };
+use crate::core::quotas::{LimiterStanding, QuotaMember};
 use crate::core::timeline::CausalClock;
 use crate::core::turns::{CoordinatorSpan, coordinator};
 use crate::node::peers::{decode_gossip, encode_gossip};
@@ -23,6 +25,17 @@
 const TICK: Duration = Duration::from_millis(100);
 /// How often an instance that misses a seed asks it for everybody.
 const REJOIN: Duration = Duration::from_secs(2);
+/// When an instance that has started asks the seeds that have not answered, and any member, for
+/// everybody once more. Where all start at once, the seeds do not listen yet when they are asked first, and
+/// know nobody when they are asked next: half of 88 instances knew 80 others after 7.6 s and one in ten
+/// after 10 s only, while each took itself for whoever it did not know.
+const ASK_AROUND: [Duration; 5] = [
+    Duration::from_millis(200),
+    Duration::from_millis(400),
+    Duration::from_millis(700),
+    Duration::from_millis(1_100),
+    Duration::from_millis(1_600),
+];
 /// Largest datagram that is read.
 const MAX_DATAGRAM: usize = 64 * 1024;
 /// A member that has not refuted a suspicion for so long is no longer named to callers: their
@@ -49,6 +62,13 @@
     /// Newest version of the routes that a peer has.
     heard_head: Cell<ConfigVersion>,
     span: Cell<CoordinatorSpan>,
+    /// Who takes datagrams about limits.
+    quotas: RefCell<Option<Rc<dyn QuotaListener>>>,
+}
+
+/// Takes datagrams about limits that come on the members' socket.
+pub(crate) trait QuotaListener {
+    fn take(&self, from: &str, message: QuotaMessage);
 }
 
 impl MemberView {
@@ -75,6 +95,7 @@
             head: Cell::new(0),
             heard_head: Cell::new(0),
             span: Cell::default(),
+            quotas: RefCell::default(),
         }
     }
 
@@ -82,6 +103,11 @@
         *self.seeds.borrow_mut() = seed_addresses(settings);
     }
 
+    /// Sets who takes datagrams about limits.
+    pub(crate) fn set_quotas(&self, quotas: Rc<dyn QuotaListener>) {
+        *self.quotas.borrow_mut() = Some(quotas);
+    }
+
     /// Sets the version of the routes in force here.
     pub(crate) fn set_head(&self, version: ConfigVersion) {
         self.head.set(version);
@@ -163,7 +189,14 @@
     pub(crate) async fn run(self: Rc<Self>) {
         actix_rt::spawn(self.clone().receive());
         let mut next_join = Instant::now();
+        let begun = Instant::now();
+        let mut rounds = ASK_AROUND.iter().peekable();
         loop {
+            if rounds.next_if(|after| begun.elapsed() >= **after).is_some() {
+                next_join = Instant::now();
+                let actions = self.table.borrow_mut().ask_around();
+                self.perform(actions);
+            }
             if Instant::now() >= next_join {
                 self.join();
                 next_join = Instant::now() + REJOIN;
@@ -177,10 +210,14 @@
     async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0; MAX_DATAGRAM];
         loop {
-            let Ok((size, _)) = self.socket.recv_from(&mut buffer).await else {
+            let Ok((size, from)) = self.socket.recv_from(&mut buffer).await else {
                 sleep(TICK).await;
                 continue;
             };
+            if let Some(message) = QuotaMessage::decode(&buffer[..size]) {
+                self.take_quota(&from.to_string(), message);
+                continue;
+            }
             match decode_gossip(&buffer[..size]) {
                 Ok(message) => self.take(&message),
                 Err(error) => log::warn!("event=gossip_malformed error=\"{error}\""),
@@ -188,6 +225,17 @@
         }
     }
 
+    fn take_quota(&self, from: &str, message: Result<QuotaMessage, serde_json::Error>) {
+        match message {
+            Ok(message) => {
+                if let Some(quotas) = &*self.quotas.borrow() {
+                    quotas.take(from, message);
+                }
+            }
+            Err(error) => log::warn!("event=quota_malformed from={from} error=\"{error}\""),
+        }
+    }
+
     fn take(&self, message: &GossipMessage) {
         self.clock.borrow_mut().observe(wall(), message.stamp);
         self.heard_head.set(self.heard_head.get().max(message.config_head));
@@ -228,7 +276,7 @@
                 MemberAction::Send { to, mut message } => {
                     message.stamp = self.clock.borrow_mut().tick(wall());
                     message.config_head = self.head.get();
-                    self.send(&to, &message);
+                    self.send_datagram(&to, &encode_gossip(&message));
                 }
                 MemberAction::Answered(_) => {}
                 MemberAction::Changed(member) => {
@@ -240,14 +288,47 @@
     }
 
     /// Sends a datagram; one that cannot be sent at once is lost, as any may be.
-    fn send(&self, to: &str, message: &GossipMessage) {
+    fn send_datagram(&self, to: &str, datagram: &[u8]) {
         let Ok(address) = to.parse::<std::net::SocketAddr>() else { return };
-        if let Err(error) = self.socket.try_send_to(&encode_gossip(message), address) {
+        if let Err(error) = self.socket.try_send_to(datagram, address) {
             log::debug!("event=gossip_lost to={to} error=\"{error}\"");
         }
     }
 }
 
+impl QuotaPeers for MemberView {
+    fn doubts(&self) -> u64 {
+        self.table.borrow().doubts()
+    }
+
+    fn changes(&self) -> u64 {
+        self.table.borrow().changes()
+    }
+
+    fn quota_members(&self) -> Vec<QuotaMember> {
+        let standing = |state| match state {
+            MemberState::Alive => Some(LimiterStanding::Alive),
+            MemberState::Suspect => Some(LimiterStanding::Suspect),
+            MemberState::Dead => Some(LimiterStanding::Gone),
+            MemberState::Leaving | MemberState::Doubted => None,
+        };
+        let table = self.table.borrow();
+        let member = |info: &MemberInfo| {
+            Some(QuotaMember {
+                instance: info.instance.clone(),
+                incarnation: info.incarnation,
+                address: info.gossip_address.clone(),
+                standing: standing(info.state)?,
+            })
+        };
+        table.iter().filter_map(member).collect()
+    }
+
+    fn send(&self, to: &str, datagram: &[u8]) {
+        self.send_datagram(to, datagram);
+    }
+}
+
 impl RelayPeers for MemberView {
     fn relay_addresses(&self) -> Vec<Box<str>> {
         let me = self.instance();
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -1,16 +1,25 @@
 //! What a gateway measures, as OpenTelemetry instruments.
 
+use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
+use super::quotas::QuotaOutcome;
 use super::rows::StoreCallKind;
+use crate::core::ids::WorkspaceId;
 use crate::util::meter::MeterExposition;
 
 /// Upper ends of the latency buckets, in seconds.
 const LATENCY_BOUNDARIES: [f64; 10] = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+/// Workspaces that have counters of their own at an instance; what others ask is counted together.
+const MAX_WORKSPACES: usize = 200;
+/// Their name.
+const OTHERS: &str = "others";
+
 const SCOPE: &str = "merlinsaddle-gateway";
 
 fn latency_histogram(meter: &Meter, name: &'static str) -> Histogram<f64> {
@@ -79,6 +88,10 @@
     open_calls: Gauge<u64>,
     reservations: Gauge<u64>,
     reserved: Counter<u64>,
+    quota_asks: Counter<u64>,
+    /// Time from a request's arrival until it had its place or was refused.
+    quota_seconds: Histogram<f64>,
+    workspaces: RefCell<BTreeSet<WorkspaceId>>,
     store_batches: Gauge<u64>,
     store_outage_seconds: Gauge<f64>,
 }
@@ -105,6 +118,9 @@
             open_calls: meter.u64_gauge("gateway_open_calls").build(),
             reservations: meter.u64_gauge("gateway_open_reservations").build(),
             reserved: meter.u64_counter("gateway_reservations").build(),
+            quota_asks: meter.u64_counter("gateway_quota_asks").build(),
+            quota_seconds: histogram("gateway_quota_seconds"),
+            workspaces: RefCell::default(),
             store_batches: meter.u64_gauge("gateway_store_batches").build(),
             store_outage_seconds: meter.f64_gauge("gateway_store_outage_seconds").build(),
         }
@@ -128,6 +144,28 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Notes what became of a request under its workspace's limit.
+    pub(crate) fn quota_asked(&self, workspace: &str, outcome: &QuotaOutcome, elapsed: Duration) {
+        let outcome = match outcome {
+            QuotaOutcome::Granted(_) => "granted",
+            QuotaOutcome::OverLimit { .. } => "over_limit",
+            QuotaOutcome::Uncertain { .. } => "uncertain",
+        };
+        let workspace = KeyValue::new("workspace", self.workspace_label(workspace));
+        self.quota_asks.add(1, &[workspace, KeyValue::new("outcome", outcome)]);
+        self.quota_seconds.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    fn workspace_label(&self, workspace: &str) -> String {
+        let mut workspaces = self.workspaces.borrow_mut();
+        let known = workspaces.contains(workspace);
+        if !known && workspaces.len() >= MAX_WORKSPACES {
+            return OTHERS.into();
+        }
+        workspaces.insert(workspace.into());
+        workspace.into()
+    }
+
     /// Notes whether tokens were set aside for a turn.
     pub(crate) fn reserved(&self, outcome: &'static str) {
         self.reserved.add(1, &[KeyValue::new("outcome", outcome)]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod news;
 mod offer;
+mod quotas;
 mod refusal;
 pub mod rows;
 mod run;
@@ -40,10 +41,12 @@
 use metrics::{GatewayMetrics, GatewaySample};
 use news::StoreNews;
 use offer::CallerOffer;
+use quotas::QuotaKeeper;
 use stop::StopState;
 use store::StoreLink;
 use turns::TurnKeeper;
 
+pub use quotas::LIMITS_PATH;
 pub use run::{GatewaySockets, RunningGateway, launch_gateway};
 pub use settings::{GatewayMechanism, GatewaySettings, QuotaWay};
 
@@ -57,6 +60,7 @@
     pub(crate) turns: Rc<TurnKeeper>,
     pub(crate) committer: Rc<StoreCommitter>,
     pub(crate) members: Rc<MemberView>,
+    pub(crate) quotas: Rc<dyn QuotaKeeper>,
     pub(crate) metrics: GatewayMetrics,
     pub(crate) stop: StopState,
     pub(crate) offer: CallerOffer,
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -20,9 +20,11 @@
 use self::table_log::NewsLog;
 use super::dialect::GatewayDialect;
 use super::http::ConnectionPool;
+use super::quotas::QuotaSource;
 use super::rows::{RowVersion, StoredRow};
 use super::store::StoreLink;
 use crate::core::ids::UpstreamId;
+use crate::core::quotas::QuotaTerms;
 use crate::core::routing::{RouteTable, TableNews, TableVersion, TableView};
 use crate::core::upstreams::{ListNews, UpstreamEntry, UpstreamTable};
 use crate::util::pause::ClockMark;
@@ -38,6 +40,12 @@
 /// the most, against the ten or so that a busy instance asks the store anyway.
 const REFRESH_PAUSE: Duration = Duration::from_millis(200);
 
+impl QuotaSource for StoreNews {
+    fn quota(&self, workspace: &str) -> Option<QuotaTerms> {
+        self.routes()?.workspaces()?.get(workspace)?.quota
+    }
+}
+
 /// What the instance knows from the store's news.
 pub(crate) struct StoreNews {
     store: Rc<StoreLink>,
--- /dev/null
+++ b/src/gateway/quotas/asker.rs
@@ -0,0 +1,322 @@
+//! Asks a workspace's limiter, which may be this instance, for each request.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::messages::QuotaMessage;
+use super::{LeastMembers, QuotaKeeper, QuotaOutcome, QuotaPeers, QuotaPlace, QuotaSource};
+use crate::core::ids::{InstanceId, WorkspaceId};
+use crate::core::quotas::{
+    AskId, LimitSample, LimiterDesk, QuotaAsk, QuotaBounds, QuotaQuestion, QuotaReply, QuotaTerms,
+    QuotaView,
+};
+use crate::gateway::members::QuotaListener;
+use crate::gateway::usual::FailedPeers;
+use crate::util::pause::ClockMark;
+
+/// Time until a question is repeated. An answer takes 2 ms between zones, and some 30 where an
+/// eighth of a core is slowed fivefold; datagrams are lost now and then.
+const REPEAT: Duration = Duration::from_millis(40);
+/// Questions to the limiter alone before its deputy is asked too.
+const ALONE: usize = 2;
+/// How long is asked. The members find out within a second that a limiter is gone; a caller that
+/// waited longer than this comes back no later if it is told to.
+const PATIENCE: Duration = Duration::from_millis(600);
+/// How long is asked by an instance that has heard nobody for some questions: it is cut off, and its
+/// callers are served elsewhere at once.
+const SHORT_PATIENCE: Duration = Duration::from_millis(100);
+const UNHEARD: u32 = 3;
+/// When a caller may come back that nobody could answer: the members know more by then.
+const UNCERTAIN_RETRY: Duration = Duration::from_millis(400);
+/// How long a limiter that was silent is asked together with its deputy from the start.
+const PASSED_OVER: Duration = Duration::from_millis(800);
+const TICK: Duration = Duration::from_millis(100);
+/// A task that is due each tick and has not run for so long tells of a pause; the members drop an
+/// instance after about as long.
+const PAUSE: Duration = Duration::from_secs(1);
+
+/// An answer and who gave it.
+#[derive(Debug)]
+struct HeardReply {
+    from: Box<str>,
+    reply: QuotaReply,
+    /// Whom to ask instead.
+    chief: Option<Box<str>>,
+}
+
+/// Limits kept by one member for each workspace.
+pub(crate) struct LimiterQuota {
+    me: InstanceId,
+    desk: RefCell<LimiterDesk>,
+    /// When the instance was last seen running.
+    mark: Cell<Option<ClockMark>>,
+    /// Doubts of others that are known of.
+    doubts: Cell<u64>,
+    peers: Rc<dyn QuotaPeers>,
+    source: Rc<dyn QuotaSource>,
+    least: LeastMembers,
+    view: RefCell<Option<(u64, usize, QuotaView)>>,
+    waiting: RefCell<HashMap<AskId, UnboundedSender<HeardReply>>>,
+    silent: RefCell<FailedPeers>,
+    unheard: Cell<u32>,
+}
+
+impl LimiterQuota {
+    pub(crate) fn new(
+        me: InstanceId,
+        bounds: QuotaBounds,
+        by_program: bool,
+        peers: Rc<dyn QuotaPeers>,
+        source: Rc<dyn QuotaSource>,
+        least: LeastMembers,
+    ) -> Self {
+        Self {
+            me,
+            desk: RefCell::new(LimiterDesk::new(bounds, by_program, Instant::now())),
+            mark: Cell::new(None),
+            doubts: Cell::new(0),
+            peers,
+            source,
+            least,
+            view: RefCell::default(),
+            waiting: RefCell::default(),
+            silent: RefCell::new(FailedPeers::new(PASSED_OVER)),
+            unheard: Cell::new(0),
+        }
+    }
+
+    /// Looks after the limits kept here until the instance ends.
+    pub(crate) async fn run(self: Rc<Self>) {
+        loop {
+            self.notice_absence();
+            let now = Instant::now();
+            self.with_view(|view| self.desk.borrow_mut().tick(view, now));
+            self.mark.set(Some(ClockMark::now()));
+            sleep(TICK).await;
+        }
+    }
+
+    /// Decides about a request as the limiter of its workspace, or its deputy.
+    fn decide(&self, question: QuotaQuestion<'_>) -> (QuotaReply, bool) {
+        self.notice_absence();
+        let now = Instant::now();
+        self.with_view(|view| self.desk.borrow_mut().decide(question, view, now))
+    }
+
+    fn chief_address(&self, workspace: &str) -> Option<Box<str>> {
+        self.with_view(|view| view.chief(workspace).map(|chief| chief.address.clone()))
+    }
+
+    /// Begins anew after a pause, or when others took this instance for failed: they have asked
+    /// somebody else meanwhile. The first to run after a pause may be a peer's question.
+    fn notice_absence(&self) {
+        let doubts = self.peers.doubts();
+        let doubted = self.doubts.replace(doubts) != doubts;
+        let mark = self.mark.get();
+        let paused = mark.is_some_and(|mark| mark.steady().elapsed() >= PAUSE || mark.is_paused());
+        if !doubted && !paused {
+            return;
+        }
+        let cause = if paused { "paused" } else { "doubted" };
+        log::info!("event=limits_restarted cause={cause}");
+        self.desk.borrow_mut().restart(Instant::now());
+        self.mark.set(Some(ClockMark::now()));
+    }
+
+    /// Lets something look at the members of the moment.
+    fn with_view<T>(&self, look: impl FnOnce(&QuotaView) -> T) -> T {
+        let (changes, least) = (self.peers.changes(), self.least.get().unwrap_or(0));
+        let mut held = self.view.borrow_mut();
+        let now = Instant::now();
+        match &mut *held {
+            Some((seen, floor, _)) if *seen == changes && *floor == least => {}
+            Some((seen, floor, view)) => {
+                (*seen, *floor) = (changes, least);
+                view.update(self.peers.quota_members(), least, now);
+            }
+            None => {
+                let view = QuotaView::new(self.me.clone(), self.peers.quota_members(), least, now);
+                *held = Some((changes, least, view));
+            }
+        }
+        let (_, _, view) = held.as_ref().expect("it was set above");
+        look(view)
+    }
+}
+
+impl QuotaListener for LimiterQuota {
+    fn take(&self, from: &str, message: QuotaMessage) {
+        match message {
+            QuotaMessage::Ask { id, workspace, ask } => {
+                // Without the configuration nothing is known of a limit, and without the number of
+                // members not what part of it is this one's; the asker goes elsewhere.
+                let Some(quota) = self.source.quota(&workspace) else { return };
+                if self.least.get().is_none() {
+                    return;
+                }
+                let question = QuotaQuestion { id, workspace: &workspace, ask, quota };
+                let (reply, chief) = self.decide(question);
+                let chief = if chief { None } else { self.chief_address(&workspace) };
+                self.peers.send(from, &QuotaMessage::Reply { id, reply, chief }.encode());
+            }
+            QuotaMessage::Reply { id, reply, chief } => {
+                if let Some(waiting) = self.waiting.borrow().get(&id) {
+                    // Whoever asked may have left meanwhile.
+                    let _ = waiting.send(HeardReply { from: from.into(), reply, chief });
+                }
+            }
+            QuotaMessage::GiveBack { workspace, ask } => {
+                self.desk.borrow_mut().give_back(&workspace, ask, Instant::now());
+            }
+        }
+    }
+}
+
+impl LimiterQuota {
+    /// Whom to ask in a round: addresses of peers, and whether this instance is among them.
+    fn targets(&self, workspace: &str, round: usize) -> (Vec<Box<str>>, bool) {
+        self.with_view(|view| {
+            let silent = self.silent.borrow();
+            let [first, second] = view.asked(workspace);
+            let passed = first.is_some_and(|first| silent.contains(&first.address));
+            let second = second.filter(|_| round >= ALONE || passed);
+            let asked: Vec<_> = first.into_iter().chain(second).collect();
+            let knows = self.least.get().is_some();
+            let own = knows && asked.iter().any(|member| view.is_me(member));
+            let peers = asked.iter().filter(|member| !view.is_me(member));
+            (peers.map(|member| member.address.clone()).collect(), own)
+        })
+    }
+
+    async fn ask_round(
+        &self,
+        id: AskId,
+        workspace: &WorkspaceId,
+        quota: QuotaTerms,
+        ask: QuotaAsk,
+        round: usize,
+        replies: &mut UnboundedReceiver<HeardReply>,
+    ) -> Option<(QuotaReply, Option<Box<str>>)> {
+        let (peers, own) = self.targets(workspace, round);
+        let question = QuotaMessage::Ask { id, workspace: workspace.clone(), ask }.encode();
+        peers.iter().for_each(|peer| self.peers.send(peer, &question));
+        if own {
+            let question = QuotaQuestion { id, workspace, ask, quota };
+            let (reply, chief) = self.decide(question);
+            if chief || is_granted(reply) {
+                return Some((reply, None));
+            }
+        }
+        let heard = async {
+            while let Some(heard) = replies.recv().await {
+                self.unheard.set(0);
+                // A deputy that has nothing to give does not say that the limit is reached.
+                let Some(chief) = heard.chief.filter(|_| !is_granted(heard.reply)) else {
+                    return Some((heard.reply, Some(heard.from)));
+                };
+                // Where all have just started, it knows some that this instance has not heard of.
+                if !peers.contains(&chief) {
+                    self.peers.send(&chief, &question);
+                }
+            }
+            None
+        };
+        let reply = timeout(REPEAT, heard).await.ok().flatten();
+        if reply.is_none()
+            && round + 1 >= ALONE
+            && let Some(first) = peers.first()
+        {
+            self.silent.borrow_mut().note(first);
+        }
+        reply
+    }
+
+    /// Asks until somebody answers.
+    async fn ask_all(
+        &self,
+        workspace: &WorkspaceId,
+        quota: QuotaTerms,
+        ask: QuotaAsk,
+    ) -> Option<(QuotaReply, Option<Box<str>>)> {
+        let id: AskId = rand::random();
+        let (sender, mut replies) = unbounded_channel();
+        self.waiting.borrow_mut().insert(id, sender);
+        let _question = OpenQuestion { waiting: &self.waiting, id };
+        let patience = if self.unheard.get() >= UNHEARD { SHORT_PATIENCE } else { PATIENCE };
+        let until = Instant::now() + patience;
+        let mut round = 0;
+        while Instant::now() < until {
+            let reply = self.ask_round(id, workspace, quota, ask, round, &mut replies).await;
+            if reply.is_some() {
+                return reply;
+            }
+            round += 1;
+        }
+        self.unheard.set(self.unheard.get().saturating_add(1));
+        None
+    }
+}
+
+fn is_granted(reply: QuotaReply) -> bool {
+    matches!(reply, QuotaReply::Granted { .. })
+}
+
+/// A question that waits for its answer; forgotten when its asker leaves.
+struct OpenQuestion<'a> {
+    waiting: &'a RefCell<HashMap<AskId, UnboundedSender<HeardReply>>>,
+    id: AskId,
+}
+
+impl Drop for OpenQuestion<'_> {
+    fn drop(&mut self) {
+        self.waiting.borrow_mut().remove(&self.id);
+    }
+}
+
+#[async_trait(?Send)]
+impl QuotaKeeper for LimiterQuota {
+    async fn ask(&self, workspace: &WorkspaceId, quota: QuotaTerms, ask: QuotaAsk) -> QuotaOutcome {
+        match self.ask_all(workspace, quota, ask).await {
+            Some((QuotaReply::Granted { after }, limiter)) => {
+                if !after.is_zero() {
+                    sleep(after).await;
+                }
+                let granted = Instant::now();
+                QuotaOutcome::Granted(QuotaPlace {
+                    workspace: workspace.clone(),
+                    ask,
+                    limiter,
+                    granted,
+                })
+            }
+            Some((QuotaReply::Refused { retry_after }, _)) => {
+                QuotaOutcome::OverLimit { retry_after }
+            }
+            None => QuotaOutcome::Uncertain { retry_after: UNCERTAIN_RETRY },
+        }
+    }
+
+    fn give_back(&self, place: QuotaPlace) {
+        if !place.is_fresh() {
+            return;
+        }
+        match &place.limiter {
+            Some(limiter) => {
+                let QuotaPlace { workspace, ask, .. } = &place;
+                let message = QuotaMessage::GiveBack { workspace: workspace.clone(), ask: *ask };
+                self.peers.send(limiter, &message.encode());
+            }
+            None => self.desk.borrow_mut().give_back(&place.workspace, place.ask, Instant::now()),
+        }
+    }
+
+    fn samples(&self) -> Vec<LimitSample> {
+        self.desk.borrow().samples(Instant::now())
+    }
+}
--- /dev/null
+++ b/src/gateway/quotas/mod.rs
@@ -0,0 +1,88 @@
+//! Limits of workspaces over all instances: asks whoever keeps them, and keeps some for the others.
+
+mod asker;
+mod messages;
+mod shares;
+mod size;
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use tokio::time::Instant;
+
+use crate::core::ids::WorkspaceId;
+use crate::core::quotas::{LimitSample, QuotaAsk, QuotaMember, QuotaTerms};
+
+pub(crate) use self::asker::LimiterQuota;
+pub(crate) use self::messages::QuotaMessage;
+pub(crate) use self::shares::ShareQuota;
+pub(crate) use self::size::{LeastMembers, SizeKeeper};
+
+/// Path of the limits in force, on the address for peers.
+pub const LIMITS_PATH: &str = "/limits";
+
+/// How lately a place must have been granted to be given back. A claim takes some 16 ms, and a store
+/// that is away holds it for seconds: places of that age, put back all at once, would let a second
+/// burst through.
+const GIVE_BACK_AGE: Duration = Duration::from_millis(500);
+
+/// What a request that wants to be sent on is told.
+#[derive(Debug)]
+pub(crate) enum QuotaOutcome {
+    Granted(QuotaPlace),
+    /// The workspace has asked more than its limit.
+    OverLimit {
+        retry_after: Duration,
+    },
+    /// Nobody knows: whoever limits the workspace does not answer.
+    Uncertain {
+        retry_after: Duration,
+    },
+}
+
+/// A place within a workspace's limit.
+#[derive(Debug)]
+pub(crate) struct QuotaPlace {
+    workspace: WorkspaceId,
+    ask: QuotaAsk,
+    /// Who granted it; none if that was this instance.
+    limiter: Option<Box<str>>,
+    granted: Instant,
+}
+
+impl QuotaPlace {
+    /// Whether it is so new that it may be given back.
+    fn is_fresh(&self) -> bool {
+        self.granted.elapsed() < GIVE_BACK_AGE
+    }
+}
+
+/// A way to keep limits over all instances.
+#[async_trait(?Send)]
+pub(crate) trait QuotaKeeper {
+    /// Waits for a place within a workspace's limit.
+    async fn ask(&self, workspace: &WorkspaceId, quota: QuotaTerms, ask: QuotaAsk) -> QuotaOutcome;
+
+    /// Gives back the place of a request that has not run and never will.
+    fn give_back(&self, place: QuotaPlace);
+
+    /// Limits kept here.
+    fn samples(&self) -> Vec<LimitSample>;
+}
+
+/// The members, and the way to them.
+pub(crate) trait QuotaPeers {
+    /// Rises whenever the members change.
+    fn changes(&self) -> u64;
+    /// Rises whenever others took this instance for failed.
+    fn doubts(&self) -> u64;
+    fn quota_members(&self) -> Vec<QuotaMember>;
+    /// Sends a datagram, which may be lost.
+    fn send(&self, to: &str, datagram: &[u8]);
+}
+
+/// What a limiter reads of the configuration.
+pub(crate) trait QuotaSource {
+    /// The limit of a workspace; none if it has none, or if none is known yet.
+    fn quota(&self, workspace: &str) -> Option<QuotaTerms>;
+}
--- /dev/null
+++ b/src/gateway/quotas/shares.rs
@@ -0,0 +1,53 @@
+//! The other way that was weighed: each instance keeps an equal part of each limit by itself.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use async_trait::async_trait;
+use tokio::time::{Instant, sleep};
+
+use super::{LeastMembers, QuotaKeeper, QuotaOutcome, QuotaPeers, QuotaPlace};
+use crate::core::ids::WorkspaceId;
+use crate::core::quotas::{LimitSample, QuotaAsk, QuotaBounds, QuotaReply, QuotaShare, QuotaTerms};
+
+/// Limits in equal parts.
+pub(crate) struct ShareQuota {
+    bounds: QuotaBounds,
+    peers: Rc<dyn QuotaPeers>,
+    least: LeastMembers,
+    shares: RefCell<HashMap<WorkspaceId, QuotaShare>>,
+}
+
+impl ShareQuota {
+    pub(crate) fn new(bounds: QuotaBounds, peers: Rc<dyn QuotaPeers>, least: LeastMembers) -> Self {
+        Self { bounds, peers, least, shares: RefCell::default() }
+    }
+}
+
+#[async_trait(?Send)]
+impl QuotaKeeper for ShareQuota {
+    async fn ask(&self, workspace: &WorkspaceId, quota: QuotaTerms, ask: QuotaAsk) -> QuotaOutcome {
+        let now = Instant::now();
+        let instances = self.peers.quota_members().len().max(self.least.get().unwrap_or(0));
+        let reply = {
+            let mut shares = self.shares.borrow_mut();
+            let share = shares.entry(workspace.clone()).or_insert_with(|| QuotaShare::new(now));
+            share.ask(quota, self.bounds, instances, now)
+        };
+        match reply {
+            QuotaReply::Granted { after } => {
+                sleep(after).await;
+                let (workspace, granted) = (workspace.clone(), Instant::now());
+                QuotaOutcome::Granted(QuotaPlace { workspace, ask, limiter: None, granted })
+            }
+            QuotaReply::Refused { retry_after } => QuotaOutcome::OverLimit { retry_after },
+        }
+    }
+
+    fn give_back(&self, _place: QuotaPlace) {}
+
+    fn samples(&self) -> Vec<LimitSample> {
+        Vec::new()
+    }
+}
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -29,6 +29,13 @@
         Self { status, reason, retry_after: None }
     }
 
+    /// The workspace has asked more than its limit: the request did not run, and there is room for it
+    /// after `wait`.
+    pub(crate) fn over_quota(wait: Duration) -> Self {
+        let status = StatusCode::TOO_MANY_REQUESTS;
+        Self { status, reason: "over_quota", retry_after: Some(wait) }
+    }
+
     /// The request may have run.
     pub(crate) fn unknown(status: StatusCode, reason: &'static str) -> Self {
         Self { status, reason, retry_after: None }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -19,8 +19,9 @@
 use super::metrics::GatewayMetrics;
 use super::news::StoreNews;
 use super::offer::CallerOffer;
+use super::quotas::{LeastMembers, LimiterQuota, QuotaKeeper, ShareQuota, SizeKeeper};
 use super::server::serve_callers;
-use super::settings::{GatewayMechanism, GatewaySettings};
+use super::settings::{GatewayMechanism, GatewaySettings, QuotaWay};
 use super::stop::StopState;
 use super::store::StoreLink;
 use super::sweep::ProgramSweeper;
@@ -113,6 +114,7 @@
         store.set_peers(members.clone());
     }
     let news = Rc::new(StoreNews::new(store.clone(), pool.clone(), dialect.clone()));
+    let quotas = launch_quotas(&settings, &store, &members, &news);
     let cache_bytes = settings.cache_bytes();
     let committer =
         Rc::new(StoreCommitter::new(store.clone(), settings.uses(GatewayMechanism::RateHold)));
@@ -131,6 +133,7 @@
         turns: Rc::new(turns),
         committer,
         members: members.clone(),
+        quotas,
         stop: StopState::default(),
         offer: CallerOffer::default(),
         gate: RefCell::default(),
@@ -165,6 +168,29 @@
     RunningGateway { gateway }
 }
 
+/// Starts the keeper of limits that the settings name.
+fn launch_quotas(
+    settings: &GatewaySettings,
+    store: &Rc<StoreLink>,
+    members: &Rc<MemberView>,
+    news: &Rc<StoreNews>,
+) -> Rc<dyn QuotaKeeper> {
+    let least = LeastMembers::default();
+    let me = settings.instance.clone();
+    let size = SizeKeeper::new(me.clone(), store.clone(), members.clone(), least.clone());
+    actix_rt::spawn(size.run());
+    let bounds = settings.quota_bounds();
+    if settings.quota_way == QuotaWay::Shares {
+        return Rc::new(ShareQuota::new(bounds, members.clone(), least));
+    }
+    let by_program = settings.uses(GatewayMechanism::ProgramQuota);
+    let limiter = LimiterQuota::new(me, bounds, by_program, members.clone(), news.clone(), least);
+    let limiter = Rc::new(limiter);
+    members.set_quotas(limiter.clone());
+    actix_rt::spawn(limiter.clone().run());
+    limiter
+}
+
 impl Gateway {
     /// Says when the instance becomes ready, and looks after idle connections and peers' news.
     async fn do_chores(self: Rc<Self>) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -8,6 +8,7 @@
 use serde::Deserialize;
 
 use crate::config::SettingsError;
+use crate::core::quotas::QuotaBounds;
 
 /// Everything a gateway learns from its settings file.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -115,6 +116,8 @@
 const CACHE_SHARE: u64 = 10;
 /// Part of the memory for bodies that are being received or sent.
 const BODY_SHARE: u64 = 4;
+/// Window of limits where the settings name none: what operators allow where they allow any.
+const QUOTA_WINDOW: Duration = Duration::from_secs(5);
 const MEGABYTE: u64 = 1024 * 1024;
 
 impl GatewaySettings {
@@ -181,6 +184,15 @@
         self.revoke_millis.filter(|_| strict).map(Duration::from_millis)
     }
 
+    /// How exactly limits must be kept.
+    pub(crate) fn quota_bounds(&self) -> QuotaBounds {
+        QuotaBounds {
+            window: self.quota_window_seconds.map_or(QUOTA_WINDOW, Duration::from_secs_f64),
+            over: self.quota_over.unwrap_or(0.0),
+            slack: self.quota_slack.unwrap_or(0.0),
+        }
+    }
+
     fn addresses(&self) -> [(&'static str, &str); 5] {
         [
             ("caller_address", &self.caller_address),
--- /dev/null
+++ b/tests/quota_limits.rs
@@ -0,0 +1,337 @@
+//! Limits of workspaces, decided without sockets: one limiter, who it is, and the other way.
+
+use std::time::Duration;
+
+use merlinsaddle::core::ids::WorkspaceId;
+use merlinsaddle::core::quotas::{
+    BucketPace, LimitTerms, LimiterDesk, LimiterRole, LimiterStanding, QuotaAsk, QuotaBounds,
+    QuotaMember, QuotaQuestion, QuotaReply, QuotaShare, QuotaTerms, QuotaView, TokenBucket,
+    WorkspaceLimiter,
+};
+use rstest::rstest;
+use tokio::time::{Instant, advance};
+
+const BOUNDS: QuotaBounds = QuotaBounds { window: Duration::from_secs(5), over: 0.1, slack: 20.0 };
+const STRICT: QuotaBounds = QuotaBounds { window: Duration::from_secs(5), over: 0.0, slack: 0.0 };
+const CHIEF: LimiterRole = LimiterRole::Chief { share: 1.0 };
+const CALL: QuotaAsk = QuotaAsk { opens: false };
+const FIRST: QuotaAsk = QuotaAsk { opens: true };
+
+fn limit(rate: f64, burst: f64, bounds: QuotaBounds) -> LimitTerms {
+    LimitTerms { quota: QuotaTerms { rate, burst }, bounds, role: CHIEF }
+}
+
+fn is_granted(reply: QuotaReply) -> bool {
+    matches!(reply, QuotaReply::Granted { .. })
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_bucket_fills_at_its_rate_and_no_further() {
+    let pace = BucketPace { rate: 10.0, most: 5.0 };
+    let mut bucket = TokenBucket::new(0.0, Instant::now());
+    assert_eq!(bucket.take(1.0, pace, Duration::ZERO), None);
+    assert_eq!(bucket.wait(1.0, pace), Duration::from_millis(100));
+    advance(Duration::from_secs(60)).await;
+    bucket.fill(pace, Instant::now());
+    assert_eq!(bucket.level(), 5.0);
+    // A lower limit cuts what is there; a higher one fills nothing up.
+    bucket.fill(BucketPace { rate: 10.0, most: 2.0 }, Instant::now());
+    bucket.fill(BucketPace { rate: 10.0, most: 9.0 }, Instant::now());
+    assert_eq!(bucket.level(), 2.0);
+}
+
+/// A workspace sends ten times its limit for a minute. In no window does it get more than the limit
+/// allows there, and it gets nearly all of that.
+#[tokio::test(start_paused = true)]
+async fn a_flood_gets_the_limit_and_no_more() {
+    let terms = limit(20.0, 20.0, STRICT);
+    let mut limiter = WorkspaceLimiter::new(Instant::now(), terms, Instant::now());
+    let begun = Instant::now();
+    let mut runs: Vec<Duration> = Vec::new();
+    while begun.elapsed() < Duration::from_secs(60) {
+        if let QuotaReply::Granted { after } = limiter.ask(CALL, terms, true, Instant::now()) {
+            runs.push(begun.elapsed() + after);
+        }
+        advance(Duration::from_millis(5)).await;
+    }
+    let most = |from: &Duration| {
+        runs.iter().filter(|at| *at >= from && **at < *from + Duration::from_secs(5)).count()
+    };
+    let worst = runs.iter().map(most).max().unwrap_or(0);
+    assert!(worst <= 121, "{worst} in a window");
+    assert!(runs.len() >= 1_190, "{} in a minute", runs.len());
+}
+
+/// Refused callers are told to come back one after another, at the pace at which there is room.
+#[tokio::test(start_paused = true)]
+async fn refused_requests_come_back_one_by_one() {
+    let terms = limit(10.0, 10.0, STRICT);
+    let now = Instant::now();
+    let mut limiter = WorkspaceLimiter::new(now, terms, now);
+    let mut returns = Vec::new();
+    for _ in 0..11 {
+        if let QuotaReply::Refused { retry_after } = limiter.ask(CALL, terms, true, now) {
+            returns.push(retry_after.as_millis());
+        }
+    }
+    // Five wait for their place here; the others come back 0.1 s apart.
+    assert_eq!(returns, [600, 700, 800, 900, 1_000, 1_100]);
+}
+
+/// Programs of twelve requests each come at twice the limit. Let in by what they need, those that begin
+/// nearly all end; refused call by call, a third and more are stopped in their midst and what they had is wasted.
+#[rstest]
+#[case::by_program(true, 0.9, 1.0)]
+#[case::by_call(false, 0.0, 0.7)]
+#[tokio::test(start_paused = true)]
+async fn programs_that_begin_can_end(
+    #[case] by_program: bool,
+    #[case] least: f64,
+    #[case] most: f64,
+) {
+    const REQUESTS: u32 = 12;
+    let terms = limit(24.0, 24.0, STRICT);
+    let mut limiter = WorkspaceLimiter::new(Instant::now(), terms, Instant::now());
+    // Each entry: when the next request of a program is due, and which it is.
+    let mut due: Vec<(Instant, u32)> = Vec::new();
+    let (mut begun, mut ended) = (0, 0);
+    for step in 0..3_000_u32 {
+        let now = Instant::now();
+        // Four programs a second, where two fit.
+        if step % 12 == 0 {
+            due.push((now, 0));
+        }
+        let ready: Vec<u32> = due.extract_if(.., |(at, _)| *at <= now).map(|(_, n)| n).collect();
+        for number in ready {
+            let ask = QuotaAsk { opens: number == 0 };
+            match limiter.ask(ask, terms, by_program, now) {
+                QuotaReply::Granted { .. } => {
+                    begun += u32::from(number == 0);
+                    match number + 1 < REQUESTS {
+                        true => due.push((now + Duration::from_millis(300), number + 1)),
+                        false => ended += 1,
+                    }
+                }
+                // A call that is refused once more than its tries ends the program.
+                QuotaReply::Refused { .. } => {}
+            }
+        }
+        advance(Duration::from_millis(20)).await;
+    }
+    let share = f64::from(ended) / f64::from(begun);
+    assert!((least..=most).contains(&share), "{ended} of {begun} ended");
+}
+
+#[tokio::test(start_paused = true)]
+async fn what_was_not_used_goes_back() {
+    let terms = limit(1.0, 1.0, STRICT);
+    let mut limiter = WorkspaceLimiter::new(Instant::now(), terms, Instant::now());
+    advance(Duration::from_secs(10)).await;
+    assert!(is_granted(limiter.ask(CALL, terms, true, Instant::now())));
+    assert!(!is_granted(limiter.ask(CALL, terms, true, Instant::now())));
+    limiter.give_back(CALL, terms);
+    assert!(is_granted(limiter.ask(CALL, terms, true, Instant::now())));
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_limit_that_is_all_but_nothing_is_told_in_figures() {
+    let terms = limit(1e-300, 1.0, STRICT);
+    let deputy = LimitTerms { role: LimiterRole::Deputy, ..terms };
+    let mut limiter = WorkspaceLimiter::new(Instant::now(), deputy, Instant::now());
+    for terms in [terms, deputy] {
+        for ask in [CALL, FIRST] {
+            let reply = limiter.ask(ask, terms, true, Instant::now());
+            let QuotaReply::Refused { retry_after } = reply else { panic!("{reply:?}") };
+            assert!(retry_after <= Duration::from_secs(2));
+        }
+    }
+}
+
+fn members(standings: &[LimiterStanding]) -> Vec<QuotaMember> {
+    let member = |(number, standing): (usize, &LimiterStanding)| QuotaMember {
+        instance: format!("i{number}").into(),
+        incarnation: 1,
+        address: format!("10.0.0.{number}:1").into(),
+        standing: *standing,
+    };
+    standings.iter().enumerate().map(member).collect()
+}
+
+fn view_of(me: usize, standings: &[LimiterStanding], least: usize) -> QuotaView {
+    QuotaView::new(format!("i{me}").into(), members(standings), least, Instant::now())
+}
+
+/// Members that agree name one limiter; a piece of a cut network has one each, and their parts add up
+/// to the whole.
+#[tokio::test(start_paused = true)]
+async fn the_parts_of_all_limiters_add_up_to_one() {
+    use LimiterStanding::{Alive, Gone};
+    let share = |view: &QuotaView| match view.role("acme", Instant::now()) {
+        LimiterRole::Chief { share } => share,
+        LimiterRole::Deputy => 0.0,
+    };
+    let whole: f64 = (0..9).map(|me| share(&view_of(me, &[Alive; 9], 0))).sum();
+    assert_eq!(whole, 1.0);
+    let near: Vec<_> = (0..9).map(|n| if n < 3 { Alive } else { Gone }).collect();
+    let far: Vec<_> = (0..9).map(|n| if n < 3 { Gone } else { Alive }).collect();
+    let parts = (0..9).map(|me| share(&view_of(me, if me < 3 { &near } else { &far }, 0)));
+    let sum: f64 = parts.sum();
+    assert!((sum - 1.0).abs() < 1e-9, "{sum}");
+    // All have just started and know themselves only, but the store told them how many they are.
+    let alone: f64 = (0..9).map(|_| share(&view_of(0, &[Alive], 9))).sum();
+    assert!((alone - 1.0).abs() < 1e-9, "{alone}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn who_is_asked_first_limits() {
+    use LimiterStanding::{Alive, Gone, Suspect};
+    for workspace in ["a", "b", "c", "d", "e", "f"] {
+        let view = view_of(0, &[Alive; 5], 0);
+        let [first, second] = view.asked(workspace).map(|member| member.expect("five").clone());
+        assert_ne!(first.instance, second.instance);
+        let of = |member: &QuotaMember, standings: &[LimiterStanding]| {
+            let number = member.instance[1..].parse().expect("a number");
+            view_of(number, standings, 0).role(workspace, Instant::now())
+        };
+        assert_eq!(of(&first, &[Alive; 5]), CHIEF);
+        assert_eq!(of(&second, &[Alive; 5]), LimiterRole::Deputy);
+        // Once it is suspected, the second one takes over; it may still be asked.
+        let number: usize = first.instance[1..].parse().expect("a number");
+        let mut standings = [Alive; 5];
+        standings[number] = Suspect;
+        assert_eq!(of(&second, &standings), LimiterRole::Chief { share: 0.8 });
+        let me = (number + 1) % 5;
+        assert_eq!(
+            view_of(me, &standings, 0).asked(workspace)[0],
+            Some(&members(&standings)[number])
+        );
+        standings[number] = Gone;
+        let next = view_of(me, &standings, 0);
+        assert_eq!(next.asked(workspace)[0].map(|m| &m.instance), Some(&second.instance));
+    }
+}
+
+fn question<'a>(id: u64, workspace: &'a WorkspaceId, quota: QuotaTerms) -> QuotaQuestion<'a> {
+    QuotaQuestion { id, workspace, ask: CALL, quota }
+}
+
+/// An answer is lost and the question comes again: it is counted once.
+#[tokio::test(start_paused = true)]
+async fn a_repeated_question_is_counted_once() {
+    let view = view_of(0, &[LimiterStanding::Alive], 0);
+    let quota = QuotaTerms { rate: 1.0, burst: 2.0 };
+    let workspace = "acme".into();
+    advance(Duration::from_secs(10)).await;
+    let mut desk = LimiterDesk::new(STRICT, true, Instant::now() - Duration::from_secs(10));
+    for _ in 0..5 {
+        let (reply, chief) = desk.decide(question(1, &workspace, quota), &view, Instant::now());
+        assert!(is_granted(reply) && chief);
+    }
+    assert!(is_granted(desk.decide(question(2, &workspace, quota), &view, Instant::now()).0));
+    let (reply, _) = desk.decide(question(3, &workspace, quota), &view, Instant::now());
+    assert!(!is_granted(reply));
+}
+
+/// The limiter of a workspace is killed, and this one takes over; it comes back, and is killed again.
+/// This one's bucket has been full before; it must not give that burst out a second time, as the other
+/// one gave out the limit meanwhile: two bursts in a window are more than the limit allows.
+#[tokio::test(start_paused = true)]
+async fn a_limiter_that_takes_over_again_begins_empty() {
+    use LimiterStanding::{Alive, Gone};
+    let workspace: Box<str> = "acme".into();
+    let first = view_of(0, &[Alive; 2], 0).asked(&workspace)[0].expect("two").instance.clone();
+    let other: usize = first[1..].parse().expect("a number");
+    let me = 1 - other;
+    let mut without = [Alive; 2];
+    without[other] = Gone;
+    let mut view = view_of(me, &without, 0);
+    let mut desk = LimiterDesk::new(STRICT, true, Instant::now());
+    let quota = QuotaTerms { rate: 10.0, burst: 100.0 };
+    let level =
+        |desk: &LimiterDesk| desk.samples(Instant::now()).first().map(|sample| sample.level);
+    advance(Duration::from_secs(100)).await;
+    desk.decide(question(1, &workspace, quota), &view, Instant::now());
+    assert_eq!(level(&desk), Some(49.0));
+    view.update(members(&[Alive; 2]), 0, Instant::now());
+    desk.tick(&view, Instant::now());
+    assert_eq!(level(&desk), None);
+    advance(Duration::from_secs(30)).await;
+    view.update(members(&without), 0, Instant::now());
+    desk.decide(question(2, &workspace, quota), &view, Instant::now());
+    assert!(level(&desk).expect("it limits again") < 1.0, "{:?}", level(&desk));
+    // Another member's end does not concern it: what has filled up stays.
+    advance(Duration::from_secs(100)).await;
+    let mut three = members(&without);
+    three.push(QuotaMember {
+        instance: "zz".into(),
+        incarnation: 1,
+        address: "z:1".into(),
+        standing: Alive,
+    });
+    view.update(three.clone(), 0, Instant::now());
+    if view.role(&workspace, Instant::now()) != LimiterRole::Deputy {
+        three[2].standing = Gone;
+        view.update(three, 0, Instant::now());
+        desk.decide(question(3, &workspace, quota), &view, Instant::now());
+        assert!(level(&desk).expect("it limits") > 30.0, "{:?}", level(&desk));
+    }
+}
+
+/// A process that was paused is asked the moment it wakes: it gives out nothing that filled meanwhile.
+#[tokio::test(start_paused = true)]
+async fn a_limiter_begins_empty_after_a_pause() {
+    let view = view_of(0, &[LimiterStanding::Alive], 0);
+    let workspace: Box<str> = "acme".into();
+    let quota = QuotaTerms { rate: 10.0, burst: 100.0 };
+    let mut desk = LimiterDesk::new(STRICT, true, Instant::now());
+    advance(Duration::from_secs(30)).await;
+    desk.restart(Instant::now());
+    desk.decide(question(1, &workspace, quota), &view, Instant::now());
+    assert!(desk.samples(Instant::now())[0].level < 1.0);
+}
+
+/// What a deputy gives out in a window, together with what the limiter does, is within the margin.
+#[tokio::test(start_paused = true)]
+async fn a_limiter_and_its_deputy_keep_the_bound() {
+    for (rate, burst) in [(1.0, 1.0), (8.0, 8.0), (200.0, 200.0), (50.0, 5.0)] {
+        let quota = QuotaTerms { rate, burst };
+        let chief = LimitTerms { quota, bounds: BOUNDS, role: CHIEF };
+        let deputy = LimitTerms { role: LimiterRole::Deputy, ..chief };
+        let begun = Instant::now();
+        advance(Duration::from_secs(60)).await;
+        let mut limiters = [chief, deputy]
+            .map(|terms| (terms, WorkspaceLimiter::new(begun, terms, Instant::now())));
+        let mut count = 0;
+        let start = Instant::now();
+        while start.elapsed() < BOUNDS.window {
+            for (terms, limiter) in &mut limiters {
+                while let QuotaReply::Granted { after } =
+                    limiter.ask(CALL, *terms, true, Instant::now())
+                    && start.elapsed() + after <= BOUNDS.window
+                {
+                    count += 1;
+                }
+            }
+            advance(Duration::from_millis(10)).await;
+        }
+        let bound = BOUNDS.limit(quota) + BOUNDS.margin(quota);
+        assert!(f64::from(count) <= bound, "{count} of {bound} at {rate}");
+        assert!(f64::from(count) >= BOUNDS.limit(quota), "{count} at {rate}");
+    }
+}
+
+/// The other way keeps a small workspace's limit badly: an equal part of three requests a second is
+/// nothing whole at ninety instances, and rounded up it is many times the limit.
+#[tokio::test(start_paused = true)]
+async fn equal_parts_of_a_small_limit_are_nothing_whole() {
+    const INSTANCES: usize = 90;
+    let quota = QuotaTerms { rate: 3.0, burst: 3.0 };
+    let mut shares: Vec<QuotaShare> =
+        (0..INSTANCES).map(|_| QuotaShare::new(Instant::now())).collect();
+    advance(Duration::from_secs(60)).await;
+    let ask =
+        |share: &mut QuotaShare| is_granted(share.ask(quota, BOUNDS, INSTANCES, Instant::now()));
+    let granted = shares.iter_mut().map(|share| usize::from(ask(share))).sum::<usize>();
+    let bound = BOUNDS.limit(quota) + BOUNDS.margin(quota);
+    assert!(granted as f64 > bound, "{granted} at once of {bound}");
+}
