--- a/src/core/quotas/desk.rs
+++ b/src/core/quotas/desk.rs
@@ -117,7 +117,7 @@
     ) -> (QuotaReply, bool) {
         self.look_around(view, now);
         let role = view.role(question.workspace, now);
-        let chief = role != LimiterRole::Deputy;
+        let chief = role.is_chief();
         if let Some((_, reply)) = self.answers.get(&question.id) {
             return (*reply, chief);
         }
@@ -143,7 +143,7 @@
             LimiterRole::Chief { .. } => {
                 (self.since.max(taken_over.unwrap_or(self.since)), &mut self.chiefs)
             }
-            LimiterRole::Deputy => (now, &mut self.deputies),
+            LimiterRole::Deputy | LimiterRole::Bystander => (now, &mut self.deputies),
         };
         let fresh = || {
             let limiter = WorkspaceLimiter::new(empty, limit, now);
@@ -174,7 +174,7 @@
             return;
         }
         self.viewed = Some(view.changed());
-        self.chiefs.retain(|workspace, _| view.role(workspace, now) != LimiterRole::Deputy);
+        self.chiefs.retain(|workspace, _| view.role(workspace, now).is_chief());
     }
 
     /// The limits in force here, by name.
@@ -185,7 +185,7 @@
             burst: held.limit.quota.burst,
             level: held.limiter.level(held.applied(now), now),
             refused: held.limiter.refused(),
-            chief: held.limit.role != LimiterRole::Deputy,
+            chief: held.limit.role.is_chief(),
         };
         let held = self.chiefs.iter().chain(&self.deputies);
         let mut samples: Vec<_> = held.map(sample).collect();
--- a/src/core/quotas/limiter.rs
+++ b/src/core/quotas/limiter.rs
@@ -54,6 +54,9 @@
     /// Another member's, whom somebody does not reach. It gives out a part of the margin only, so that
     /// the limit holds though the other may go on.
     Deputy,
+    /// Another member's, and this instance has started so lately that many may be taken for its deputy.
+    /// It gives out nothing.
+    Bystander,
 }
 
 /// The limit of a workspace as one instance applies it.
@@ -64,6 +67,13 @@
     pub role: LimiterRole,
 }
 
+impl LimiterRole {
+    /// Whether the instance limits the workspace for all.
+    pub fn is_chief(self) -> bool {
+        matches!(self, Self::Chief { .. })
+    }
+}
+
 impl LimitTerms {
     /// What is let in at once and a second.
     fn call_pace(&self) -> BucketPace {
@@ -73,6 +83,7 @@
                 let most = self.quota.burst * over + CHIEF_MARGIN * self.bounds.slack;
                 BucketPace { rate: self.quota.rate * over * share, most: most * share }
             }
+            LimiterRole::Bystander => BucketPace { rate: 0.0, most: 0.0 },
             LimiterRole::Deputy => {
                 let most = DEPUTY_MARGIN * self.bounds.margin(self.quota);
                 BucketPace { rate: most / self.bounds.window.as_secs_f64().max(1.0), most }
--- a/src/core/quotas/view.rs
+++ b/src/core/quotas/view.rs
@@ -50,10 +50,16 @@
     changed: Instant,
     /// Where one of them would limit a workspace, this instance has taken it over when it was lost.
     lost: Vec<LostMember>,
+    begun: Instant,
 }
 
 /// How long it is known who was lost. Whatever was taken over then has filled up since.
 const LOST_MEMORY: Duration = Duration::from_secs(60);
+/// How long an instance that has started counts as learning while it knows fewer members than there are:
+/// news of all of them takes about a second. Where all start at once, some take themselves for the
+/// limiter that do not know yet who goes before them, and many for its deputy: their parts add up to one on
+/// the average, and to twice that by chance.
+const LEARNING: Duration = Duration::from_secs(2);
 /// How long a member that is back does not count yet. Where a cut has healed, the limiters on both
 /// sides learn of it within a second or so of each other; if each took its part for the whole at
 /// once, both would give out the whole limit until then.
@@ -64,7 +70,7 @@
     /// instances start at once, each knows itself first, and would take itself for all there are.
     pub fn new(me: InstanceId, members: Vec<QuotaMember>, least: usize, now: Instant) -> Self {
         let known = members.len().max(least);
-        Self { me, members, known, changed: now, lost: Vec::new() }
+        Self { me, members, known, changed: now, lost: Vec::new(), begun: now }
     }
 
     /// Takes newer members; what is limited here and stays here goes on.
@@ -82,7 +88,7 @@
         for member in &mut known {
             member.notice_return(&newer, now);
         }
-        *self = Self { lost: known, ..newer };
+        *self = Self { lost: known, begun: self.begun, ..newer };
     }
 
     fn alive_members(&self) -> impl Iterator<Item = &QuotaMember> {
@@ -142,12 +148,20 @@
 
     /// As what this instance limits a workspace.
     pub fn role(&self, workspace: &str, now: Instant) -> LimiterRole {
-        match self.chief(workspace).is_some_and(|chief| self.is_me(chief)) {
-            true => LimiterRole::Chief { share: self.share(now) },
-            false => LimiterRole::Deputy,
+        let chief = self.chief(workspace).is_some_and(|chief| self.is_me(chief));
+        match (chief, self.is_learning(now)) {
+            (true, false) => LimiterRole::Chief { share: self.share(now) },
+            (true, true) => LimiterRole::Chief { share: self.share(now) / 2.0 },
+            (false, false) => LimiterRole::Deputy,
+            (false, true) => LimiterRole::Bystander,
         }
     }
 
+    fn is_learning(&self, now: Instant) -> bool {
+        let new = now.saturating_duration_since(self.begun) < LEARNING;
+        new && self.alive_count() < self.known
+    }
+
     /// Part of the known members that are alive, those that are only just back left out.
     fn share(&self, now: Instant) -> f64 {
         let returning = self.lost.iter().filter(|member| member.is_returning(now)).count();
