--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -376,6 +376,11 @@
     let deployment = Deployment::start(0, 1).await;
     let gateway = GatewayProcess::start("limits", &deployment.store_address).await;
     deployment.set_workspaces(2, &[limited("acme", 20.0, 30.0), limited("other", 5.0, 5.0)]);
+    // Before that, callers are served without a limit.
+    wait_until("it asks for keys", async || {
+        gateway.call(&call("book", "b0")).await.status() == 401
+    })
+    .await;
     for workspace in ["acme", "other"] {
         wait_until("it is served", async || {
             gateway.call(&from(workspace, &call("book", "b1"))).await.status() == 200
