--- a/src/core/quotas/limiter.rs
+++ b/src/core/quotas/limiter.rs
@@ -8,12 +8,12 @@
 use super::bucket::{BucketPace, TokenBucket};
 use super::{QuotaBounds, QuotaReply, QuotaTerms};
 
-/// Part of the margin that a limiter itself uses: half. The other half is for two limiters at once,
-/// while the members find out that one of them is gone.
-const CHIEF_MARGIN: f64 = 0.5;
-/// Part of the margin that a deputy holds at once, and gives out again in a window: half of the margin
-/// together, which is the half that the limiter leaves.
-const DEPUTY_MARGIN: f64 = 0.25;
+/// Part of the margin that a limiter itself uses: two fifths. As much is for its deputy, and a fifth for
+/// chance while members that have started find out who goes before whom: with all of it shared out, a
+/// window of a modelled mass start was 1% too full.
+const CHIEF_MARGIN: f64 = 0.4;
+/// Part of the margin that a deputy holds at once, and gives out again in a window: two fifths together.
+const DEPUTY_MARGIN: f64 = 0.2;
 /// How long a new program may wait for its place, and a request of one that is under way. A call that is
 /// refused twice or three times ends its program, so it waits while the next ones are not yet late for
 /// that; a program that is refused at its start has lost nothing, and is told so at once.
--- a/tests/quota_bound.rs
+++ b/tests/quota_bound.rs
@@ -66,6 +66,22 @@
     assert!(world.excess() <= 0.0, "{}", world.excess());
 }
 
+/// All members start at once, and a second later one of them freezes for less than it notices itself: its
+/// deputies answer meanwhile, and its bucket has filled when it is back. With the whole margin shared out
+/// between limiter and deputy, a window held 3.3 requests too many.
+#[test]
+fn a_short_freeze_after_a_mass_start_gives_no_limit_twice() {
+    let faults = vec![
+        (14_321, Fault::KillAll { millis: 661 }),
+        (9_861, Fault::Freeze { member: 4, millis: 1_181 }),
+        (15_461, Fault::Freeze { member: 8, millis: 881 }),
+    ];
+    let plan = Plan { seed: 11821379867575202233, members: 5, rate: 44.65832826905294, faults };
+    let mut world = World::new(plan);
+    world.play();
+    assert!(world.excess() <= 0.0, "{}", world.excess());
+}
+
 /// Without faults and below its limit a workspace is refused nothing, and far above it gets all that the
 /// limit allows.
 #[test]
--- a/tests/quota_world/mod.rs
+++ b/tests/quota_world/mod.rs
@@ -97,6 +97,8 @@
     frozen_until: Instant,
     was_frozen: Option<Instant>,
     was_down: bool,
+    /// Others have taken it for failed, and told it.
+    doubted: bool,
     incarnation: u64,
     quota: QuotaTerms,
 }
@@ -143,6 +145,7 @@
             frozen_until: now,
             was_frozen: None,
             was_down: false,
+            doubted: false,
             incarnation: 1,
             quota,
         };
@@ -224,6 +227,9 @@
             let count = self.members.len();
             self.members[me].view = QuotaView::new(name(me), Vec::new(), count, now);
         }
+        if std::mem::take(&mut self.members[me].doubted) {
+            self.members[me].desk.restart(now);
+        }
         if let Some(since) = self.members[me].was_frozen.take()
             && now - since >= PAUSE
         {
@@ -256,6 +262,11 @@
                 true => self.members[other].incarnation,
                 false => before.incarnation,
             };
+            let back = standing == Some(Alive) && matches!(before.standing, Some(Suspect | Gone));
+            if back && incarnation == before.incarnation {
+                // It hears that it was taken for failed, refutes that, and forgets what it gave out.
+                self.members[other].doubted = true;
+            }
             self.members[me].beliefs[other] = Belief { standing, incarnation, reachable, next };
         }
         let known = self.members[me].beliefs.iter().enumerate().filter_map(|(other, belief)| {
