Keep the news of a death that comes before any of the life

News of a death of an unknown member was dropped, so an instance that had just started believed the next member that had not heard of it; members that ask around at their start ask several. Found by reading; the trace of that instance was not looked at. The death is now kept, not passed on. Ruled out: limits, which that deployment does not have.

--- a/src/core/members/spread.rs
+++ b/src/core/members/spread.rs
@@ -50,8 +50,14 @@
                 }
                 return Vec::new();
             }
-            // The news of a death travels on after the dead were forgotten; it needs no entry.
-            None if update.state == MemberState::Dead => return Vec::new(),
+            // Kept, but not passed on, as the news of a death travels on after the dead were forgotten. Not
+            // kept, whoever has just started believes the next one that has not heard of it: callers
+            // were sent to a machine that had been gone for eight seconds.
+            None if update.state == MemberState::Dead => {
+                let entry = MemberEntry { info: update.clone(), since: now, sent: u32::MAX };
+                self.members.insert(update.instance.clone(), entry);
+                return Vec::new();
+            }
             None => {
                 let entry = MemberEntry { info: update.clone(), since: now, sent: 0 };
                 self.members.insert(update.instance.clone(), entry);
