Hold budgets on routes that keep no history, by tokens set aside for several turns

Ruled out: a reservation a turn on the same path. Change: what is kept of a turn (its history and tokens, or tokens alone) is a type of its own. The coordinator of a program holds an allowance: one open reservation of the ledger for up to four turns ahead, but at most half of what the budget leaves, out of which turns draw without a write. What a dead instance held stays spent; a planned stop gives it back; stand-ins hold nothing ahead. A new program is turned away by the gate only if its coordinator does not know it.

--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -47,7 +47,10 @@
     pub max_attempts: u32,
     /// Whether an upstream is faster with what it handled before.
     pub sticky: bool,
-    /// How long turns are kept after they were last named, where the system keeps them.
+    /// Whether the system keeps what was said, so that a turn brings only its new input.
+    pub keeps_history: bool,
+    /// How long turns and ledgers of programs are kept after they were last named, where the operator
+    /// says.
     pub retention: Option<Duration>,
     /// Whether callers need no key.
     pub is_open: bool,
--- a/src/core/turns/cache.rs
+++ b/src/core/turns/cache.rs
@@ -115,10 +115,20 @@
         ledger: ProgramLedger,
     ) {
         let cached = self.programs.entry(program.clone()).or_default();
+        if cached.ledger.is_none() {
+            cached.bytes += ENTRY_OVERHEAD;
+            self.bytes += ENTRY_OVERHEAD;
+        }
         if cached.ledger.as_ref().is_none_or(|(known, _)| *known <= version) {
             cached.ledger = Some((version, ledger));
         }
         self.touch(program);
+        self.evict();
+    }
+
+    /// Whether a program's ledger is known here.
+    pub fn knows_ledger(&self, program: &str) -> bool {
+        self.programs.get(program).is_some_and(|cached| cached.ledger.is_some())
     }
 
     /// Drops all that is known of a program.
--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::TurnId;
+use super::{AllowanceDemand, TurnId};
 use crate::core::ids::Tokens;
 
 /// What a program has spent and what its running turns may still spend.
@@ -51,6 +51,35 @@
         ReserveReply::Reserved
     }
 
+    /// Makes the reservation under a name hold what an allowance needs, and up to `ahead` tokens more,
+    /// but no more than half of what the budget leaves: another instance may need the rest.
+    pub fn extend(
+        &mut self,
+        name: &TurnId,
+        demand: AllowanceDemand,
+        ahead: Tokens,
+        budget: Tokens,
+    ) -> ReserveReply {
+        let AllowanceDemand { least, lasting } = demand;
+        let held = self.held(name);
+        if held >= least {
+            return ReserveReply::Reserved;
+        }
+        let committed = self.committed();
+        let room = budget.saturating_sub(committed - held);
+        if room < least {
+            let lasting = self.spent.saturating_add(lasting) > budget;
+            return ReserveReply::Exhausted { committed, lasting };
+        }
+        self.open.insert(name.clone(), least + ahead.min((room - least) / 2));
+        ReserveReply::Reserved
+    }
+
+    /// Tokens reserved under a name.
+    pub fn held(&self, name: &TurnId) -> Tokens {
+        self.open.get(name).copied().unwrap_or_default()
+    }
+
     /// Replaces a turn's reservation by what it used; false if there is none.
     pub fn settle(&mut self, turn: &TurnId, used: Tokens) -> bool {
         let reserved = self.open.remove(turn).is_some();
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -23,6 +23,7 @@
 use super::refusal::Refusal;
 use crate::core::ids::{RequestId, Tokens, UpstreamId};
 use crate::core::routing::{RouteSpec, ServiceName};
+use crate::core::turns::TurnScope;
 use crate::core::workspaces::WorkspaceSpec;
 
 /// When a caller may come back whose request found no place before its deadline.
@@ -52,6 +53,8 @@
     pub(crate) holder: Option<UpstreamId>,
     /// Tokens in each event of the engine's stream.
     event_tokens: Tokens,
+    /// What the system keeps of it; none if it is no turn of a program.
+    pub(crate) scope: Option<TurnScope>,
 }
 
 /// How a call ended, for the log and the metrics.
@@ -88,7 +91,7 @@
         writer: &mut CallerWriter,
     ) -> bool {
         let method = request.method.clone();
-        let (mut call, turn) = match self.prepare(request, arrived, reader, writer).await {
+        let mut call = match self.prepare(request, arrived, reader, writer).await {
             Ok(prepared) => prepared,
             Err((id, refusal)) => {
                 return self.refuse_unrouted(&id, &method, &refusal, arrived, writer).await;
@@ -98,7 +101,7 @@
         let end = tokio::select! {
             biased;
             () = reader.closed() => CallEnd::cut("caller_left", None),
-            end = self.run_call(&mut call, turn, &log, writer) => end,
+            end = self.run_call(&mut call, &log, writer) => end,
         };
         self.note_end(&call, &end, &log);
         end.keep
@@ -172,15 +175,14 @@
     async fn run_call(
         self: &Rc<Self>,
         call: &mut CallContext,
-        is_turn: bool,
         log: &AttemptLog,
         writer: &mut CallerWriter,
     ) -> CallEnd {
-        let place = match self.take_place(call, is_turn).await {
+        let place = match self.take_place(call).await {
             Ok(place) => place,
             Err(refusal) => return self.end_refused(&refusal, writer).await,
         };
-        let end = self.run_admitted(call, is_turn, log, writer).await;
+        let end = self.run_admitted(call, log, writer).await;
         place.settle(log);
         end
     }
@@ -189,14 +191,13 @@
     async fn run_admitted(
         self: &Rc<Self>,
         call: &mut CallContext,
-        is_turn: bool,
         log: &AttemptLog,
         writer: &mut CallerWriter,
     ) -> CallEnd {
-        if !is_turn {
+        let Some(scope) = call.scope else {
             return self.send_on(call, None, log, writer).await;
-        }
-        match timeout_at(call.deadline, self.prepare_turn(call, log)).await {
+        };
+        match timeout_at(call.deadline, self.prepare_turn(call, scope, log)).await {
             Ok(Ok(turn)) => self.send_on(call, Some(turn), log, writer).await,
             Ok(Err(refusal)) => self.end_refused(&refusal, writer).await,
             Err(_) => {
--- a/src/gateway/call/prepare.rs
+++ b/src/gateway/call/prepare.rs
@@ -11,7 +11,10 @@
 use super::CallContext;
 use super::access::CallGrant;
 use crate::core::ids::RequestId;
+use crate::core::routing::{RouteKind, RouteSpec};
+use crate::core::turns::TurnScope;
 use crate::gateway::Gateway;
+use crate::gateway::dialect::CallHead;
 use crate::gateway::http::{CallerReader, CallerRequest, CallerWriter};
 use crate::gateway::refusal::Refusal;
 
@@ -50,6 +53,15 @@
     result
 }
 
+/// A budget holds wherever a program names one, also where its history is not kept.
+fn turn_scope(head: &CallHead, route: &RouteSpec) -> Option<TurnScope> {
+    if route.keeps_history {
+        return Some(TurnScope::History);
+    }
+    let budgeted = head.program.is_some() && head.token_budget.is_some();
+    (budgeted && route.kind == RouteKind::Stream).then_some(TurnScope::Tokens)
+}
+
 impl Gateway {
     /// Finds the route of a request and reads its body.
     pub(super) async fn prepare(
@@ -58,7 +70,7 @@
         arrived: Instant,
         reader: &mut CallerReader,
         writer: &mut CallerWriter,
-    ) -> Result<(CallContext, bool), (RequestId, Refusal)> {
+    ) -> Result<CallContext, (RequestId, Refusal)> {
         let head = match self.dialect.call_head(&request.headers) {
             Ok(head) => head,
             Err(error) => {
@@ -102,10 +114,10 @@
             arrived,
             deadline,
             holder: None,
+            scope: turn_scope(&head, &route),
             head,
             route,
         };
-        let is_turn = call.route.retention.is_some();
-        Ok((call, is_turn))
+        Ok(call)
     }
 }
--- a/src/gateway/call/quota.rs
+++ b/src/gateway/call/quota.rs
@@ -6,6 +6,7 @@
 
 use super::{CallContext, DEADLINE_RETRY};
 use crate::core::quotas::QuotaAsk;
+use crate::core::turns::TurnScope;
 use crate::gateway::Gateway;
 use crate::gateway::attempt::AttemptLog;
 use crate::gateway::quotas::{QuotaKeeper, QuotaOutcome, QuotaPlace};
@@ -30,17 +31,15 @@
 impl Gateway {
     /// Waits for a place within the workspace's limit, before anything is done for the call: a turn that
     /// is refused must not cost writes of the store.
-    pub(super) async fn take_place(
-        &self,
-        call: &CallContext,
-        is_turn: bool,
-    ) -> Result<CallPlace, Refusal> {
+    pub(super) async fn take_place(&self, call: &CallContext) -> Result<CallPlace, Refusal> {
         let quotas = self.quotas.clone();
         let limited = call.workspace.as_ref().and_then(|space| Some((space, space.quota?)));
         let Some((workspace, quota)) = limited else {
             return Ok(CallPlace { quotas, place: None });
         };
-        let ask = QuotaAsk { opens: is_turn && call.head.previous.is_none() };
+        // Whether a turn without a history is its program's first is known to the coordinator alone.
+        let opens = call.scope == Some(TurnScope::History) && call.head.previous.is_none();
+        let ask = QuotaAsk { opens };
         let asked = quotas.ask(&workspace.name, quota, ask);
         let outcome = timeout_at(call.deadline, asked)
             .await
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -70,8 +70,7 @@
             if !events.is_whole() {
                 return CallEnd::cut("stream_torn", Some(upstream));
             }
-            let record = turn.record(&choice, events);
-            if !turn.reservation.complete(record, call.deadline).await {
+            if turn.is_kept() && !turn.keep(&choice, events, call.deadline).await {
                 return CallEnd::cut("turn_not_kept", Some(upstream));
             }
         }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -10,14 +10,14 @@
 use super::CallContext;
 use crate::core::admission::{AdmissionReply, AdmissionRequest};
 use crate::core::ids::{Tokens, UpstreamId};
-use crate::core::turns::{ProgramName, TurnId, TurnRecord};
+use crate::core::turns::{DEFAULT_RETENTION, ProgramName, TurnId, TurnRecord, TurnScope};
 use crate::core::upstreams::UpstreamChoice;
 use crate::core::workspaces::owned_name;
 use crate::gateway::attempt::{AttemptLog, chain_body};
 use crate::gateway::events::EventParser;
 use crate::gateway::refusal::Refusal;
 use crate::gateway::turns::{
-    ClaimError, ClaimedTurn, MAX_NAME_BYTES, TurnChain, TurnClaim, TurnReservation,
+    ClaimError, ClaimedTurn, MAX_NAME_BYTES, TurnChain, TurnClaim, TurnCoordinator, TurnReservation,
 };
 use crate::gateway::{Gateway, GatewayMechanism};
 use crate::node::platform::StoreError;
@@ -35,8 +35,12 @@
 /// Time left to the caller after a reservation is given up.
 const RESERVE_MARGIN: Duration = Duration::from_millis(200);
 
+/// When a new program may come back that a coordinator turned away unasked.
+const NOT_ADMITTED_RETRY: Duration = Duration::from_millis(500);
+
 /// The part of a call that belongs to a program's history.
 pub(super) struct TurnWork {
+    scope: TurnScope,
     previous: Option<TurnId>,
     /// The program that made it, if it is another one.
     origin: Option<ProgramName>,
@@ -74,6 +78,7 @@
     pub(super) async fn prepare_turn(
         self: &Rc<Self>,
         call: &mut CallContext,
+        scope: TurnScope,
         log: &AttemptLog,
     ) -> Result<TurnWork, Refusal> {
         let bad = |reason| Refusal::rejected(StatusCode::BAD_REQUEST, reason);
@@ -81,15 +86,26 @@
         if names.longest() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
-        if names.previous.is_none() {
-            self.admit(call, &names.program)?;
-        }
-        let ClaimedTurn { chain, reservation } = self.claim_turn(call, &names, log).await?;
+        let admitted = match scope {
+            TurnScope::History if names.previous.is_some() => Ok(()),
+            TurnScope::History | TurnScope::Tokens => self.admit(call, &names.program),
+        };
+        // Only the coordinator knows whether a turn without a history is its program's first.
+        let only_known = match (scope, admitted) {
+            (_, Ok(())) => None,
+            (TurnScope::Tokens, Err(refusal)) => Some(refusal),
+            (TurnScope::History, Err(refusal)) => return Err(refusal),
+        };
+        let claim = self.turn_claim(call, &names, scope, only_known.is_some());
+        let claimed = self.claim_turn(call, claim, only_known, log).await?;
+        let ClaimedTurn { chain, reservation } = claimed;
         let input = call.body.clone();
-        call.holder = self.chain_holder(&chain);
-        call.body = chain_body(&chain.turns, &input);
+        if scope == TurnScope::History {
+            call.holder = self.chain_holder(&chain);
+            call.body = chain_body(&chain.turns, &input);
+        }
         let previous = names.previous;
-        Ok(TurnWork { previous, origin: chain.origin, input, reservation })
+        Ok(TurnWork { scope, previous, origin: chain.origin, input, reservation })
     }
 
     /// Lets a program's first turn in, or turns it away while engines have far more than they can do.
@@ -126,15 +142,15 @@
         lives.then(|| last.upstream.clone())
     }
 
-    /// Claims the turn at the instance that coordinates its program, or here.
-    async fn claim_turn(
+    fn turn_claim(
         &self,
         call: &CallContext,
         names: &TurnNames,
-        log: &AttemptLog,
-    ) -> Result<ClaimedTurn, Refusal> {
-        let retention = call.route.retention.unwrap_or_default();
-        let claim = TurnClaim {
+        scope: TurnScope,
+        only_known: bool,
+    ) -> TurnClaim {
+        let retention = call.route.retention.unwrap_or(DEFAULT_RETENTION);
+        TurnClaim {
             program: names.program.clone(),
             turn: names.turn.clone(),
             previous: names.previous.clone(),
@@ -142,20 +158,46 @@
             budget: call.head.token_budget.unwrap_or(Tokens::MAX),
             // It is kept from its end on, which is not written apart.
             retention: retention + call.deadline.saturating_duration_since(Instant::now()),
-        };
+            scope,
+            only_known,
+        }
+    }
+
+    fn coordinator(&self, program: &ProgramName) -> TurnCoordinator {
+        if !self.settings.uses(GatewayMechanism::Coordinators) {
+            return TurnCoordinator::Nobody;
+        }
+        self.members.coordinator(program).map_or(TurnCoordinator::Here, TurnCoordinator::Peer)
+    }
+
+    /// Claims the turn at the instance that coordinates its program, or here. `not_admitted` is what
+    /// a new program is told while new ones are turned away.
+    async fn claim_turn(
+        &self,
+        call: &CallContext,
+        claim: TurnClaim,
+        not_admitted: Option<Refusal>,
+        log: &AttemptLog,
+    ) -> Result<ClaimedTurn, Refusal> {
+        let program = claim.program.clone();
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
-        let coordinated = self.settings.uses(GatewayMechanism::Coordinators);
-        let peer = coordinated.then(|| self.members.coordinator(&names.program)).flatten();
-        log.coordinator.replace(peer.clone());
-        let claimed = self.claim_through_outage(call, peer, claim, limit).await;
+        let coordinator = self.coordinator(&program);
+        if let TurnCoordinator::Peer(peer) = &coordinator {
+            log.coordinator.replace(Some(peer.clone()));
+        }
+        let claimed = self.claim_through_outage(call, coordinator, claim, limit).await;
         log.claimed_after.set(Some(call.arrived.elapsed()));
         self.metrics.reserved(match &claimed {
             Ok(_) => "reserved",
             Err(ClaimError::Exhausted { .. }) => "exhausted",
             Err(ClaimError::NoSuchTurn) => "no_such_turn",
+            Err(ClaimError::NotAdmitted) => "not_admitted",
             Err(ClaimError::Store(_) | ClaimError::Doubtful(_)) => "store_failed",
         });
-        claimed.map_err(|error| self.claim_refusal(call, &names.program, error))
+        claimed.map_err(|error| match (error, not_admitted) {
+            (ClaimError::NotAdmitted, Some(refusal)) => refusal,
+            (error, _) => self.claim_refusal(call, &program, error),
+        })
     }
 
     /// Claims a turn; if the whole store is away, as soon as it is back, for as long as the caller has
@@ -163,12 +205,12 @@
     async fn claim_through_outage(
         &self,
         call: &CallContext,
-        peer: Option<Box<str>>,
+        coordinator: TurnCoordinator,
         claim: TurnClaim,
         limit: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
         if !self.settings.uses(GatewayMechanism::OutageWait) {
-            return self.turns.claim(peer, claim, limit).await;
+            return self.turns.claim(coordinator, claim, limit).await;
         }
         let time = call.deadline.saturating_duration_since(call.arrived);
         let patience = call.arrived + time.mul_f64(OUTAGE_PATIENCE);
@@ -178,7 +220,7 @@
             {
                 return Err(ClaimError::Store(StoreError::Unavailable));
             }
-            let claimed = self.turns.claim(peer.clone(), claim.clone(), limit).await;
+            let claimed = self.turns.claim(coordinator.clone(), claim.clone(), limit).await;
             let away = matches!(claimed, Err(ClaimError::Store(_)))
                 && self.store.outage().is_some()
                 && Instant::now() < patience;
@@ -205,6 +247,7 @@
                 );
                 Refusal::rejected(StatusCode::PAYMENT_REQUIRED, "budget_exhausted")
             }
+            ClaimError::NotAdmitted => Refusal::not_run("engines_overloaded", NOT_ADMITTED_RETRY),
             ClaimError::NoSuchTurn => Refusal::rejected(StatusCode::NOT_FOUND, "no_such_turn"),
             ClaimError::Store(error) | ClaimError::Doubtful(error) => self.store_refusal(&error),
         }
@@ -219,7 +262,23 @@
 }
 
 impl TurnWork {
-    pub(super) fn record(&self, choice: &UpstreamChoice, events: EventParser) -> TurnRecord {
+    /// Whether the turn's end waits until its record is durable.
+    pub(super) fn is_kept(&self) -> bool {
+        self.scope == TurnScope::History
+    }
+
+    /// Makes a turn durable that has ended whole; false if that failed.
+    pub(super) async fn keep(
+        self,
+        choice: &UpstreamChoice,
+        events: EventParser,
+        limit: Instant,
+    ) -> bool {
+        let record = self.record(choice, events);
+        self.reservation.complete(record, limit).await
+    }
+
+    fn record(&self, choice: &UpstreamChoice, events: EventParser) -> TurnRecord {
         TurnRecord {
             previous: self.previous.clone(),
             origin: self.origin.clone(),
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -12,7 +12,7 @@
 use super::store::StoreLink;
 use super::turns::{LEDGER_KEY, TABLE, index_key, parse_turn_key, row_key};
 use crate::core::ids::InstanceId;
-use crate::core::turns::{ProgramLedger, ProgramName};
+use crate::core::turns::{DEFAULT_RETENTION, ProgramLedger, ProgramName};
 use crate::node::platform::StoreError;
 
 /// Table of duties that one instance at a time performs.
@@ -54,10 +54,11 @@
         // When known programs expire, so that those are not read again before.
         let mut known: BTreeMap<ProgramName, u64> = BTreeMap::new();
         loop {
-            let Some(retention) = self.news.routes().and_then(|table| table.retention()) else {
+            let Some(table) = self.news.routes() else {
                 sleep(MIN_PACE).await;
                 continue;
             };
+            let retention = table.retention().unwrap_or(DEFAULT_RETENTION);
             let pace = (retention / SWEEPS_PER_RETENTION).max(MIN_PACE);
             sleep(pace).await;
             let margin = retention / MARGIN_SHARE;
--- /dev/null
+++ b/src/gateway/turns/allowances.rs
@@ -0,0 +1,209 @@
+//! Tokens of programs whose history is not kept: set aside for several turns by one write.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::future::join_all;
+use tokio::time::Instant;
+
+use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
+use super::{BACKGROUND_LIMIT, ReserveError, TurnChain, TurnKeeper};
+use crate::core::ids::Tokens;
+use crate::core::turns::{
+    ProgramLedger, ProgramName, ReserveReply, TURNS_AHEAD, TokenAllowance, TurnId, TurnScope,
+};
+
+/// Times a turn is claimed whose ledger expires meanwhile.
+const CLAIM_TRIES: usize = 3;
+/// Unused for so long, an allowance may be given back: its program has ended or pauses.
+const IDLE: Duration = Duration::from_secs(30);
+/// A stop gives back allowances that were used so lately, as their programs go on elsewhere.
+const IN_USE: Duration = Duration::from_secs(5);
+/// Allowances below which idle ones are not looked for.
+const PRUNE_LEAST: usize = 1_024;
+
+/// An allowance that this instance holds.
+struct HeldAllowance {
+    allowance: TokenAllowance,
+    used_at: Instant,
+    /// Whether it holds no tokens ahead, as another instance coordinates the program.
+    stands_in: bool,
+}
+
+/// The allowances that this instance holds, by program.
+pub(super) struct ProgramAllowances {
+    held: HashMap<ProgramName, HeldAllowance>,
+    /// Tells this life of the instance from all others.
+    life: u64,
+    made: u64,
+    /// How many there may be before idle ones are given back.
+    prune_at: usize,
+}
+
+impl Default for ProgramAllowances {
+    fn default() -> Self {
+        Self { held: HashMap::new(), life: rand::random(), made: 0, prune_at: PRUNE_LEAST }
+    }
+}
+
+impl ProgramAllowances {
+    fn get_or_make(&mut self, program: &ProgramName, stands_in: bool) -> &mut HeldAllowance {
+        let (life, made) = (self.life, &mut self.made);
+        self.held.entry(program.clone()).or_insert_with(|| {
+            *made += 1;
+            let name = format!("{life:016x}-{made}").into();
+            let allowance = TokenAllowance::new(name);
+            HeldAllowance { allowance, used_at: Instant::now(), stands_in }
+        })
+    }
+
+    /// Drops what is held for a program whose ledger is gone.
+    pub(super) fn forget(&mut self, program: &str) {
+        self.held.remove(program);
+    }
+
+    /// Takes out allowances without a running turn.
+    fn take_idle(
+        &mut self,
+        wanted: impl Fn(&HeldAllowance) -> bool,
+    ) -> Vec<(ProgramName, TokenAllowance)> {
+        let taken = self.held.extract_if(|_, held| held.allowance.is_idle() && wanted(held));
+        taken.map(|(program, held)| (program, held.allowance)).collect()
+    }
+}
+
+impl TurnClaim {
+    /// How long its program's ledger is to be kept. A ledger that several turns share is not written at
+    /// each, so it is kept longer.
+    pub(super) fn kept_for(&self) -> Duration {
+        match self.scope {
+            TurnScope::History => self.retention,
+            TurnScope::Tokens => self.retention + self.retention / 2,
+        }
+    }
+}
+
+impl TurnKeeper {
+    /// Claims a turn whose history is not kept: out of the program's allowance here, or by a write that
+    /// extends it.
+    pub(super) async fn claim_tokens(
+        self: &Rc<Self>,
+        claim: &TurnClaim,
+        limit: Instant,
+        source: ClaimSource,
+    ) -> Result<ClaimedTurn, ClaimError> {
+        let coordinates = matches!(source, ClaimSource::Own | ClaimSource::Peer);
+        if claim.only_known && coordinates && !self.cache.borrow().knows_ledger(&claim.program) {
+            return Err(ClaimError::NotAdmitted);
+        }
+        self.prune_allowances();
+        let mut held = self.reservation(&claim.program, &claim.turn);
+        held.scope = TurnScope::Tokens;
+        if self.draw(claim) {
+            return Ok(ClaimedTurn { chain: TurnChain::default(), reservation: held });
+        }
+        for _ in 0..CLAIM_TRIES {
+            match self.reserve(claim, limit, source, &mut held).await {
+                Ok(()) => {
+                    return Ok(ClaimedTurn { chain: TurnChain::default(), reservation: held });
+                }
+                Err(ReserveError::Expired) => {}
+                Err(ReserveError::Exhausted { committed }) => {
+                    return Err(ClaimError::Exhausted { committed });
+                }
+                // An extension that takes effect unseen belongs to no turn, so nothing is in doubt.
+                Err(ReserveError::Store(error)) => return Err(ClaimError::Store(error)),
+            }
+        }
+        Err(ClaimError::NoSuchTurn)
+    }
+
+    /// Takes a turn's tokens out of what the ledger holds already; false if that takes a write.
+    fn draw(&self, claim: &TurnClaim) -> bool {
+        if self.pending.borrow().contains_key(&claim.program) {
+            return false;
+        }
+        let mut allowances = self.allowances.borrow_mut();
+        let Some(held) = allowances.held.get_mut(&claim.program) else { return false };
+        let Some((_, ledger)) = self.cache.borrow().ledger(&claim.program) else { return false };
+        let demand = held.allowance.demand(&claim.turn, claim.most);
+        let lasts = ledger.kept_until() >= self.kept_until(claim.retention);
+        if !lasts || ledger.held(held.allowance.name()) < demand.least {
+            return false;
+        }
+        held.allowance.start(&claim.turn, claim.most);
+        held.used_at = Instant::now();
+        self.cache.borrow_mut().touch(&claim.program);
+        true
+    }
+
+    /// Makes the program's allowance in a ledger hold a turn's tokens.
+    pub(super) fn extend_allowance(
+        &self,
+        ledger: &mut ProgramLedger,
+        claim: &TurnClaim,
+        is_ahead: bool,
+    ) -> ReserveReply {
+        let mut allowances = self.allowances.borrow_mut();
+        let held = allowances.get_or_make(&claim.program, !is_ahead);
+        let demand = held.allowance.demand(&claim.turn, claim.most);
+        let ahead = if is_ahead { claim.most.saturating_mul(TURNS_AHEAD) } else { 0 };
+        let reply = ledger.extend(held.allowance.name(), demand, ahead, claim.budget);
+        if reply == ReserveReply::Reserved {
+            held.allowance.start(&claim.turn, claim.most);
+            held.used_at = Instant::now();
+        }
+        reply
+    }
+
+    /// Takes a turn out of an allowance whose extension was not written.
+    pub(super) fn take_back(&self, claim: &TurnClaim) {
+        if claim.scope == TurnScope::Tokens
+            && let Some(held) = self.allowances.borrow_mut().held.get_mut(&claim.program)
+        {
+            held.allowance.end(&claim.turn, 0);
+        }
+    }
+
+    /// Notes what a turn has used of the allowance that is held here.
+    pub(super) fn end_turn(self: &Rc<Self>, program: &ProgramName, turn: &TurnId, used: Tokens) {
+        let mut allowances = self.allowances.borrow_mut();
+        let Some(held) = allowances.held.get_mut(program) else { return };
+        held.allowance.end(turn, used);
+        // The coordinator needs what is left here.
+        if held.stands_in && held.allowance.is_idle() {
+            let allowance = held.allowance.clone();
+            allowances.forget(program);
+            let returned = self.clone().give_back(program.clone(), allowance);
+            actix_rt::spawn(returned);
+        }
+    }
+
+    /// Gives back allowances that have been idle for long, when there are many.
+    fn prune_allowances(self: &Rc<Self>) {
+        let mut allowances = self.allowances.borrow_mut();
+        if allowances.held.len() < allowances.prune_at {
+            return;
+        }
+        let idle = allowances.take_idle(|held| held.used_at.elapsed() > IDLE);
+        allowances.prune_at = PRUNE_LEAST.max(allowances.held.len() * 2);
+        log::info!("event=allowances_pruned idle={} left={}", idle.len(), allowances.held.len());
+        for (program, allowance) in idle {
+            actix_rt::spawn(self.clone().give_back(program, allowance));
+        }
+    }
+
+    /// Gives back what programs that go on elsewhere need, before this instance ends.
+    pub(crate) async fn give_back_allowances(self: &Rc<Self>) {
+        let idle = self.allowances.borrow_mut().take_idle(|held| held.used_at.elapsed() < IN_USE);
+        let returned =
+            idle.into_iter().map(|(program, allowance)| self.clone().give_back(program, allowance));
+        join_all(returned).await;
+    }
+
+    async fn give_back(self: Rc<Self>, program: ProgramName, allowance: TokenAllowance) {
+        let limit = Instant::now() + BACKGROUND_LIMIT;
+        self.settle(&program, allowance.name(), allowance.committed(), limit).await;
+    }
+}
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -8,7 +8,7 @@
 
 use super::{ChainError, ReserveError, TurnChain, TurnKeeper, TurnReservation};
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramName, TurnId};
+use crate::core::turns::{ProgramName, TurnId, TurnScope};
 use crate::node::platform::StoreError;
 
 /// Times a turn is claimed before what it continues from counts as gone.
@@ -26,13 +26,20 @@
     pub(crate) budget: Tokens,
     /// How long the program's turns are kept from now on.
     pub(crate) retention: Duration,
+    #[serde(default)]
+    pub(crate) scope: TurnScope,
+    /// Whether the program is turned away unless it has had turns before.
+    #[serde(default)]
+    pub(crate) only_known: bool,
 }
 
 /// For whom a turn is claimed, which decides who takes back a reservation that may stand unseen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClaimSource {
-    /// This instance.
+    /// This instance, which coordinates the program.
     Own,
+    /// This instance, instead of a coordinator that has not heard of the claim, or where there is none.
+    StandIn,
     /// This instance, after a coordinator whose reservation may take effect unseen.
     TakenOver,
     /// A peer, which may claim the turn another way and run it under this very reservation: taken back
@@ -51,6 +58,8 @@
 pub(crate) enum ClaimError {
     /// What it continues from does not exist: the store was asked just now.
     NoSuchTurn,
+    /// The program is new, and new ones are turned away.
+    NotAdmitted,
     /// The budget does not hold its most tokens on top of these.
     Exhausted { committed: Tokens },
     /// The store did not do its part; nothing of the claim stands.
@@ -76,6 +85,9 @@
         limit: Instant,
         source: ClaimSource,
     ) -> Result<ClaimedTurn, ClaimError> {
+        if claim.scope == TurnScope::Tokens {
+            return self.claim_tokens(claim, limit, source).await;
+        }
         let mut held = self.reservation(&claim.program, &claim.turn);
         // Dropped unsettled, it takes back what a coordinator may have set aside unseen.
         held.settled = source != ClaimSource::TakenOver;
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -15,7 +15,7 @@
 use super::messages::{ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
 use super::{ChainError, SETTLE_PATIENCE, TurnChain, TurnKeeper};
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramName, TurnId, TurnRecord};
+use crate::core::turns::{ProgramName, TurnId, TurnRecord, TurnScope};
 use crate::gateway::http::ExchangeError;
 use crate::gateway::usual::{FailedPeers, UsualTime};
 use crate::node::platform::StoreError;
@@ -37,6 +37,16 @@
 /// whether it is gone, and each claim that still tries waits in vain.
 const PASSED_OVER: Duration = Duration::from_millis(800);
 
+/// Who coordinates a program, as far as this instance knows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) enum TurnCoordinator {
+    Here,
+    /// The instance at this address for peers.
+    Peer(Box<str>),
+    /// Each instance claims its own turns.
+    Nobody,
+}
+
 /// What is known of coordinators as peers.
 #[derive(Debug)]
 pub(super) struct CoordinatorHealth {
@@ -64,17 +74,25 @@
 }
 
 impl TurnKeeper {
-    /// Claims a turn at its coordinator; here if there is none or it does not answer.
+    /// Claims a turn at its coordinator; here if there is no other or it does not answer.
     pub(crate) async fn claim(
         self: &Rc<Self>,
-        peer: Option<Box<str>>,
+        coordinator: TurnCoordinator,
         claim: TurnClaim,
         limit: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
-        let peer = peer.filter(|peer| !self.coordinators.borrow().failed.contains(peer));
-        let Some(peer) = peer else {
-            return self.claim_here(&claim, limit, ClaimSource::Own).await;
+        let peer = match coordinator {
+            TurnCoordinator::Here => {
+                return self.claim_here(&claim, limit, ClaimSource::Own).await;
+            }
+            TurnCoordinator::Nobody => {
+                return self.claim_here(&claim, limit, ClaimSource::StandIn).await;
+            }
+            TurnCoordinator::Peer(peer) => peer,
         };
+        if self.coordinators.borrow().failed.contains(&peer) {
+            return self.claim_here(&claim, limit, ClaimSource::StandIn).await;
+        }
         // It goes on if the caller leaves meanwhile; what it was granted is then given back.
         let keeper = self.clone();
         let asked = actix_rt::spawn(async move { keeper.claim_by(&peer, &claim, limit).await });
@@ -87,7 +105,8 @@
         claim: &TurnClaim,
         limit: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
-        let knows_chain = claim.previous.as_ref().is_none_or(|turn| self.has_chain(turn));
+        let knows_chain = claim.scope == TurnScope::Tokens
+            || claim.previous.as_ref().is_none_or(|turn| self.has_chain(turn));
         let request = ClaimRequest { claim: claim.clone(), knows_chain, limit_ms: left_ms(limit) };
         let source = match self.ask(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await {
             Ok((StatusCode::OK, body)) => match self.take_claim(peer, claim, &body).await {
@@ -95,7 +114,7 @@
                 None => ClaimSource::TakenOver,
             },
             Ok(_) | Err(PeerFailure::Unknown) => ClaimSource::TakenOver,
-            Err(PeerFailure::NotSent) => ClaimSource::Own,
+            Err(PeerFailure::NotSent) => ClaimSource::StandIn,
         };
         log::debug!("event=claim_taken_over turn={} peer={peer}", claim.turn);
         self.claim_here(claim, limit, source).await
@@ -112,6 +131,7 @@
         let chain = match reply {
             ClaimReply::Granted { chain } => chain,
             ClaimReply::NoSuchTurn => return Some(Err(ClaimError::NoSuchTurn)),
+            ClaimReply::NotAdmitted => return Some(Err(ClaimError::NotAdmitted)),
             ClaimReply::Exhausted { committed } => {
                 return Some(Err(ClaimError::Exhausted { committed }));
             }
@@ -130,7 +150,9 @@
         }
         let mut reservation = self.reservation(&claim.program, &claim.turn);
         reservation.coordinator = Some(peer.into());
-        let chain = match &claim.previous {
+        reservation.scope = claim.scope;
+        let previous = claim.previous.as_ref().filter(|_| claim.scope == TurnScope::History);
+        let chain = match previous {
             Some(previous) => self.chain(&claim.program, previous).await,
             None => Ok(TurnChain::default()),
         };
@@ -200,8 +222,9 @@
         program: &ProgramName,
         turn: &TurnId,
         used: Tokens,
+        scope: TurnScope,
     ) -> bool {
-        let request = SettleRequest { program: program.clone(), turn: turn.clone(), used };
+        let request = SettleRequest { program: program.clone(), turn: turn.clone(), used, scope };
         let answer = self.ask(peer, SETTLE_PATH, frame(&request, &[]), SETTLE_PATIENCE).await;
         matches!(answer, Ok((StatusCode::OK, _)))
     }
--- a/src/gateway/turns/messages.rs
+++ b/src/gateway/turns/messages.rs
@@ -4,7 +4,7 @@
 
 use super::claim::TurnClaim;
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramName, TurnId};
+use crate::core::turns::{ProgramName, TurnId, TurnScope};
 
 /// A claim on its way to a coordinator.
 #[derive(Debug, Serialize, Deserialize)]
@@ -29,6 +29,7 @@
 pub(super) enum ClaimReply {
     Granted { chain: Vec<ChainTurn> },
     NoSuchTurn,
+    NotAdmitted,
     Exhausted { committed: Tokens },
 }
 
@@ -40,10 +41,12 @@
     pub(super) limit_ms: u64,
 }
 
-/// What a turn that broke off has used.
+/// What a turn has used that leaves no record.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct SettleRequest {
     pub(super) program: ProgramName,
     pub(super) turn: TurnId,
     pub(super) used: Tokens,
+    #[serde(default)]
+    pub(super) scope: TurnScope,
 }
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -1,5 +1,6 @@
 //! Keeps turns: reads chains, sets tokens aside before a turn runs, and writes what it became.
 
+mod allowances;
 mod chain;
 mod claim;
 mod coordinate;
@@ -15,6 +16,7 @@
 
 use tokio::time::{Instant, sleep, timeout_at};
 
+use self::allowances::ProgramAllowances;
 use self::coordinate::CoordinatorHealth;
 use self::reserve::PendingReservation;
 use self::rows::ledger_write;
@@ -23,12 +25,12 @@
 use super::rows::{CommitReply, RowTransaction, RowVersion};
 use super::store::StoreLink;
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramLedger, ProgramName, TurnCache, TurnId, TurnRecord};
+use crate::core::turns::{ProgramLedger, ProgramName, TurnCache, TurnId, TurnRecord, TurnScope};
 use crate::node::platform::StoreError;
 
 pub(crate) use self::chain::{ChainError, TurnChain};
 pub(crate) use self::claim::{ClaimError, ClaimedTurn, TurnClaim};
-pub(crate) use self::coordinate::{CLAIM_PATH, KEEP_PATH, SETTLE_PATH};
+pub(crate) use self::coordinate::{CLAIM_PATH, KEEP_PATH, SETTLE_PATH, TurnCoordinator};
 pub(crate) use self::rows::{LEDGER_KEY, TABLE, index_key, parse_turn_key, row_key};
 
 /// How long a reservation waits for other writes: not at all, as its turn has not begun; it takes along
@@ -73,6 +75,7 @@
     /// Reservations that wait for their program's ledger to be written; present while a task writes.
     pending: RefCell<HashMap<ProgramName, Vec<PendingReservation>>>,
     cache: RefCell<TurnCache>,
+    allowances: RefCell<ProgramAllowances>,
     /// Largest value of a row, in bytes.
     row_bytes: usize,
     /// Turns that hold or are getting a reservation.
@@ -86,6 +89,7 @@
     turn: TurnId,
     used: Tokens,
     settled: bool,
+    scope: TurnScope,
     /// The peer that claimed it for this instance.
     coordinator: Option<Box<str>>,
 }
@@ -128,7 +132,8 @@
 }
 
 impl Drop for TurnReservation {
-    /// A turn that broke off leaves no record; its unused tokens go back to the program.
+    /// A turn that leaves no record, as it broke off or its history is not kept: its unused tokens go
+    /// back to the program.
     fn drop(&mut self) {
         self.keeper.reservations.set(self.keeper.reservations.get() - 1);
         if self.settled {
@@ -136,13 +141,17 @@
         }
         let keeper = self.keeper.clone();
         let (program, turn, used) = (self.program.clone(), self.turn.clone(), self.used);
-        let coordinator = self.coordinator.take();
+        let (scope, coordinator) = (self.scope, self.coordinator.take());
         actix_rt::spawn(async move {
             if let Some(peer) = coordinator
-                && keeper.settle_by(&peer, &program, &turn, used).await
+                && keeper.settle_by(&peer, &program, &turn, used, scope).await
             {
                 return;
             }
+            if scope == TurnScope::Tokens {
+                keeper.end_turn(&program, &turn, used);
+                return;
+            }
             let limit = Instant::now() + BACKGROUND_LIMIT;
             keeper.settle(&program, &turn, used, limit).await;
         });
@@ -165,6 +174,7 @@
             coordinators: RefCell::default(),
             pending: RefCell::default(),
             cache,
+            allowances: RefCell::default(),
             row_bytes,
             reservations: Cell::new(0),
         }
@@ -239,6 +249,7 @@
             turn: turn.clone(),
             used: 0,
             settled: false,
+            scope: TurnScope::History,
             coordinator: None,
         }
     }
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -9,7 +9,7 @@
 use super::{
     LedgerReply, RESERVE_PATIENCE, RETRY_PAUSE, ReserveError, TurnKeeper, TurnReservation,
 };
-use crate::core::turns::{ProgramLedger, ProgramName, ReserveReply};
+use crate::core::turns::{ProgramLedger, ProgramName, ReserveReply, TurnScope};
 use crate::node::platform::StoreError;
 
 /// What became of a reservation.
@@ -26,6 +26,8 @@
     /// Whether all that the store has of the program was read since its ledger last changed.
     fresh: bool,
     doubtful: bool,
+    /// Whether tokens of further turns are set aside too.
+    is_ahead: bool,
     reply: oneshot::Sender<ReservationEnd>,
 }
 
@@ -56,8 +58,14 @@
     ) -> Result<(), ReserveError> {
         let (reply, ended) = oneshot::channel();
         let doubtful = !held.settled;
-        let pending =
-            PendingReservation { claim: claim.clone(), limit, fresh: false, doubtful, reply };
+        let pending = PendingReservation {
+            claim: claim.clone(),
+            limit,
+            fresh: false,
+            doubtful,
+            is_ahead: matches!(source, ClaimSource::Own | ClaimSource::Peer),
+            reply,
+        };
         // A caller that leaves while this is under way drops what is held.
         held.settled = false;
         self.enqueue(pending);
@@ -119,6 +127,9 @@
             return left;
         }
         let reply = self.write_ledger(program, version, ledger, RESERVE_PATIENCE).await;
+        if !matches!(reply, Ok(LedgerReply::Written)) {
+            granted.iter().for_each(|pending| self.take_back(&pending.claim));
+        }
         match reply {
             Ok(LedgerReply::Written) => granted.into_iter().for_each(|pending| pending.end(Ok(()))),
             Ok(LedgerReply::Gone) => {
@@ -147,9 +158,13 @@
         let (mut granted, mut short) = (Vec::new(), Vec::new());
         for pending in group {
             let claim = &pending.claim;
-            match ledger.reserve(&claim.turn, claim.most, claim.budget) {
+            let reply = match claim.scope {
+                TurnScope::History => ledger.reserve(&claim.turn, claim.most, claim.budget),
+                TurnScope::Tokens => self.extend_allowance(ledger, claim, pending.is_ahead),
+            };
+            match reply {
                 ReserveReply::Reserved => {
-                    ledger.keep_until(self.kept_until(claim.retention));
+                    ledger.keep_until(self.kept_until(claim.kept_for()));
                     granted.push(pending);
                 }
                 ReserveReply::Exhausted { committed, lasting } if pending.fresh || lasting => {
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -10,7 +10,7 @@
 use super::claim::{ClaimError, ClaimSource, TurnClaim};
 use super::messages::{ChainTurn, ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
 use super::{BACKGROUND_LIMIT, CLAIM_PATH, SETTLE_PATH, TurnKeeper};
-use crate::core::turns::TurnRecord;
+use crate::core::turns::{TurnRecord, TurnScope};
 use crate::util::framed::{frame, unframe};
 
 impl TurnKeeper {
@@ -28,6 +28,7 @@
                 return Some(self.granted(claim, known));
             }
             Err(ClaimError::NoSuchTurn) => ClaimReply::NoSuchTurn,
+            Err(ClaimError::NotAdmitted) => ClaimReply::NotAdmitted,
             Err(ClaimError::Exhausted { committed }) => ClaimReply::Exhausted { committed },
             Err(ClaimError::Store(_) | ClaimError::Doubtful(_)) => return None,
         };
@@ -75,6 +76,10 @@
         }
         if path == SETTLE_PATH {
             let Ok((request, _)) = unframe::<SettleRequest>(body) else { return malformed };
+            if request.scope == TurnScope::Tokens {
+                self.end_turn(&request.program, &request.turn, request.used);
+                return (StatusCode::OK, Bytes::new());
+            }
             let limit = Instant::now() + BACKGROUND_LIMIT;
             self.settle(&request.program, &request.turn, request.used, limit).await;
             return (StatusCode::OK, Bytes::new());
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -195,6 +195,7 @@
                 ],
                 max_attempts: 2,
                 sticky: true,
+                keeps_history: true,
                 retention: Some(
                     60s,
                 ),
@@ -218,6 +219,7 @@
                 ],
                 max_attempts: 1,
                 sticky: false,
+                keeps_history: false,
                 retention: None,
                 is_open: true,
             },
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -27,6 +27,7 @@
         targets: targets.iter().map(|(name, weight)| ((*name).into(), *weight)).collect(),
         max_attempts: 1,
         sticky: false,
+        keeps_history: false,
         retention: None,
         is_open: false,
     }
