Let streams that may be resumed go on after their last event

Cause: a broken engine or connection ended the turn, though the operator says that such a stream may go on with the id of its last event; two turns lost to it are the program. Ruled out: any other engine at once. Change: a resumable stream counts as idempotent. It is passed on in whole events, and when it breaks off it goes on at another engine while the route allows one more or the engine has ended, else at the same one, three times at most, under the headers of its first engine; events that jump back are not passed on. What may have run is no longer answered 503, also for idempotent requests.

--- a/src/core/routing/mod.rs
+++ b/src/core/routing/mod.rs
@@ -22,7 +22,7 @@
     /// Runs at most once for each request of a caller.
     #[display("at_most_once")]
     AtMostOnce,
-    /// A stream of events; runs at most once.
+    /// A stream of events; runs at most once unless its route says that it may be resumed.
     #[display("stream")]
     Stream,
 }
@@ -52,11 +52,18 @@
     /// How long turns and ledgers of programs are kept after they were last named, where the operator
     /// says.
     pub retention: Option<Duration>,
+    /// Whether a stream that broke off may go on at another upstream after its last event.
+    pub is_resumable: bool,
     /// Whether callers need no key.
     pub is_open: bool,
 }
 
 impl RouteSpec {
+    /// Whether a request may run again after it may have run.
+    pub fn is_idempotent(&self) -> bool {
+        self.kind == RouteKind::Idempotent || self.is_resumable
+    }
+
     /// The service for a request, by a number drawn evenly from the whole range of `u32`.
     pub fn service(&self, draw: u32) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -10,12 +10,13 @@
 
 use super::call::CallContext;
 use super::dialect::{AnswerHead, AttemptHead};
+use super::events::EventId;
 use super::http::{AnswerError, UpstreamConnection};
 use super::refusal::Refusal;
 use super::{Gateway, GatewayMechanism};
 use crate::core::ids::UpstreamId;
 use crate::core::routing::{RouteKind, ServiceName};
-use crate::core::upstreams::{AttemptResult, ChoiceRequest, UpstreamChoice};
+use crate::core::upstreams::{AttemptResult, BirthMillis, ChoiceRequest, UpstreamChoice};
 
 /// Upstreams that may refuse one request, unrun, before it is refused itself.
 const MAX_UNRUN: usize = 8;
@@ -34,6 +35,8 @@
 const MAX_FOREIGN: usize = 3;
 /// Largest answer that is read as a whole; those of idempotent requests are a few kilobytes.
 const MAX_WHOLE_BODY: usize = 4 * 1024 * 1024;
+/// Times that a stream goes on at the engine that broke it off.
+const MAX_RERUNS: u32 = 3;
 /// Largest body of a skipped answer.
 const MAX_FOREIGN_BODY: usize = 1024 * 1024;
 
@@ -142,6 +145,56 @@
     pub(crate) sent_after: Cell<Option<Duration>>,
     /// Whether an attempt is under way whose upstream may be running the request.
     pub(crate) exposed: Cell<bool>,
+    /// Upstreams that have run the request, by their lives.
+    engines: RefCell<Vec<UpstreamLife>>,
+    /// Times it was sent again to the upstream that broke it off.
+    reruns: Cell<u32>,
+    /// The last event that was passed on, after which a stream goes on.
+    pub(crate) last_event: RefCell<Option<EventId>>,
+}
+
+/// One life of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct UpstreamLife {
+    id: UpstreamId,
+    born: Option<BirthMillis>,
+}
+
+impl UpstreamLife {
+    fn of(choice: &UpstreamChoice) -> Self {
+        Self { id: choice.id.clone(), born: choice.born }
+    }
+}
+
+impl AttemptLog {
+    /// Whether an upstream may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.exposed.get() || self.runs.get() > 0
+    }
+
+    fn note_run(&self, choice: &UpstreamChoice) {
+        self.runs.set(self.runs.get() + 1);
+        let life = UpstreamLife::of(choice);
+        let mut engines = self.engines.borrow_mut();
+        if !engines.contains(&life) {
+            engines.push(life);
+        }
+    }
+
+    /// Notes that an upstream cannot be reached: what it ran has ended with it.
+    fn note_gone(&self, choice: &UpstreamChoice) {
+        let life = UpstreamLife::of(choice);
+        self.engines.borrow_mut().retain(|known| *known != life);
+    }
+}
+
+/// Where a request may go after an upstream that may have run it.
+enum RerunPlace {
+    /// To any other upstream.
+    Elsewhere,
+    /// To the same one only, as no more upstreams may run it.
+    Same,
+    Nowhere,
 }
 
 impl Gateway {
@@ -151,15 +204,75 @@
         call: &CallContext,
         log: &AttemptLog,
     ) -> Result<UpstreamAnswer, Refusal> {
-        let mut tried: Vec<UpstreamId> = Vec::new();
+        self.attempt_from(call, None, &mut Vec::new(), log).await
+    }
+
+    /// Finds an answer for a stream that an upstream broke off.
+    pub(crate) async fn attempt_again(
+        self: &Rc<Self>,
+        call: &CallContext,
+        broken: &UpstreamChoice,
+        log: &AttemptLog,
+    ) -> Result<UpstreamAnswer, Refusal> {
+        let mut tried = Vec::new();
+        let pinned = self.after_loss(call, broken, &mut tried, log)?;
+        self.attempt_from(call, pinned, &mut tried, log).await
+    }
+
+    /// The upstream that a request must be sent to again; none if any untried one will do.
+    fn after_loss(
+        &self,
+        call: &CallContext,
+        lost: &UpstreamChoice,
+        tried: &mut Vec<UpstreamId>,
+        log: &AttemptLog,
+    ) -> Result<Option<UpstreamChoice>, Refusal> {
+        match self.rerun_place(call, log) {
+            RerunPlace::Elsewhere => {
+                tried.push(lost.id.clone());
+                Ok(None)
+            }
+            RerunPlace::Same => {
+                log.reruns.set(log.reruns.get() + 1);
+                Ok(Some(lost.clone()))
+            }
+            RerunPlace::Nowhere => Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")),
+        }
+    }
+
+    /// A route bounds how many upstreams run a request; those that have ended since do not count.
+    fn rerun_place(&self, call: &CallContext, log: &AttemptLog) -> RerunPlace {
+        if !call.route.is_idempotent() || Instant::now() >= call.deadline {
+            return RerunPlace::Nowhere;
+        }
+        let upstreams = self.news.upstreams.borrow();
+        let engines = log.engines.borrow();
+        let living = engines.iter().filter(|life| upstreams.lives(&life.id, life.born)).count();
+        if living < call.route.max_attempts as usize {
+            RerunPlace::Elsewhere
+        } else if call.route.is_resumable && log.reruns.get() < MAX_RERUNS {
+            RerunPlace::Same
+        } else {
+            RerunPlace::Nowhere
+        }
+    }
+
+    async fn attempt_from(
+        self: &Rc<Self>,
+        call: &CallContext,
+        mut pinned: Option<UpstreamChoice>,
+        tried: &mut Vec<UpstreamId>,
+        log: &AttemptLog,
+    ) -> Result<UpstreamAnswer, Refusal> {
         let patience = call.arrived + call.route.objective / PATIENCE_SHARE;
         loop {
-            let Some(choice) = self.choose(call, &tried) else {
+            let is_pinned = pinned.is_some();
+            let Some(choice) = pinned.take().or_else(|| self.choose(call, tried)) else {
                 if tried.is_empty() {
-                    return Err(Refusal::not_run("no_upstream", NOBODY_RETRY));
+                    return Err(no_answer(log, "no_upstream", NOBODY_RETRY));
                 }
                 if Instant::now() + FULL_PAUSE >= patience || tried.len() >= MAX_UNRUN {
-                    return Err(Refusal::not_run("upstreams_full", FULL_RETRY));
+                    return Err(no_answer(log, "upstreams_full", FULL_RETRY));
                 }
                 sleep(FULL_PAUSE).await;
                 tried.clear();
@@ -178,9 +291,16 @@
                         call.id,
                         choice.id
                     );
+                    if result == AttemptResult::Unreachable {
+                        log.note_gone(&choice);
+                    } else if is_pinned {
+                        sleep(FULL_PAUSE).await;
+                        pinned = self.after_loss(call, &choice, tried, log)?;
+                        continue;
+                    }
                     tried.push(choice.id);
                     if tried.len() >= MAX_UNRUN {
-                        return Err(Refusal::not_run("upstreams_full", FULL_RETRY));
+                        return Err(no_answer(log, "upstreams_full", FULL_RETRY));
                     }
                 }
                 Err(AttemptError::Unknown(cause)) => {
@@ -190,10 +310,7 @@
                         choice.id,
                         log.runs.get()
                     );
-                    tried.push(choice.id);
-                    if !call.may_run_again(log) {
-                        return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost"));
-                    }
+                    pinned = self.after_loss(call, &choice, tried, log)?;
                 }
             }
         }
@@ -201,7 +318,8 @@
 
     /// Whether a failure that an upstream answered should be tried elsewhere instead.
     fn wants_another(&self, call: &CallContext, answer: &UpstreamAnswer, log: &AttemptLog) -> bool {
-        answer.head.status.is_server_error() && call.may_run_again(log)
+        answer.head.status.is_server_error()
+            && matches!(self.rerun_place(call, log), RerunPlace::Elsewhere)
     }
 
     fn choose(&self, call: &CallContext, tried: &[UpstreamId]) -> Option<UpstreamChoice> {
@@ -234,14 +352,14 @@
             AttemptError::NotRun(AttemptResult::Unreachable)
         })?;
         let sent_at = Instant::now();
-        let head = self.attempt_head(call, choice);
+        let head = self.attempt_head(call, choice, log);
         log.exposed.set(true);
         let waited = log.sent_after.get().unwrap_or_else(|| call.arrived.elapsed());
         log.sent_after.set(Some(waited));
         let exchange = exchange(self, &mut connection, call, head).await;
         let (head, info) = exchange.map_err(|error| {
             guard.record(AttemptResult::Broken);
-            log.runs.set(log.runs.get() + 1);
+            log.note_run(choice);
             log::debug!("event=answer_lost upstream={} error=\"{error}\"", choice.id);
             AttemptError::Unknown(error_word(&error))
         })?;
@@ -255,7 +373,7 @@
             }
             return Err(AttemptError::NotRun(result));
         }
-        log.runs.set(log.runs.get() + 1);
+        log.note_run(choice);
         let body = self.whole_body(call, &mut connection).await.map_err(|error| {
             guard.record(AttemptResult::Broken);
             AttemptError::Unknown(error_word(&error))
@@ -276,12 +394,18 @@
         connection.rest(MAX_WHOLE_BODY).await.map(Some)
     }
 
-    fn attempt_head(&self, call: &CallContext, choice: &UpstreamChoice) -> RequestHead {
+    fn attempt_head(
+        &self,
+        call: &CallContext,
+        choice: &UpstreamChoice,
+        log: &AttemptLog,
+    ) -> RequestHead {
         let attempt = AttemptHead {
             expect: choice.id.clone(),
             deadline: call.deadline.saturating_duration_since(Instant::now()),
             priority: call.priority,
             workspace: call.workspace.as_ref().map(|workspace| workspace.name.clone()),
+            last_event: log.last_event.borrow().clone(),
         };
         let mut head = RequestHead::default();
         head.method = call.method.clone();
@@ -326,13 +450,12 @@
     }
 }
 
-impl CallContext {
-    /// Whether the request may be sent to one more upstream after one that may have run it.
-    pub(crate) fn may_run_again(&self, log: &AttemptLog) -> bool {
-        self.route.kind == RouteKind::Idempotent
-            && log.runs.get() < self.route.max_attempts
-            && Instant::now() < self.deadline
+/// The end of a request that no upstream is left for: only what has surely not run is said not to.
+fn no_answer(log: &AttemptLog, reason: &'static str, retry: Duration) -> Refusal {
+    if log.may_have_run() {
+        return Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost");
     }
+    Refusal::not_run(reason, retry)
 }
 
 /// The body that an upstream is sent.
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -226,7 +226,7 @@
             Ok(Ok(answer)) => answer,
             Ok(Err(refusal)) => return self.end_refused(&refusal, writer).await,
             Err(_) => {
-                let refusal = if log.exposed.get() {
+                let refusal = if log.may_have_run() {
                     Refusal::unknown(StatusCode::GATEWAY_TIMEOUT, "deadline")
                 } else {
                     Refusal::not_run("deadline_unrun", DEADLINE_RETRY)
@@ -235,7 +235,7 @@
             }
         };
         let upstream = answer.choice.id.clone();
-        let relay = self.relay(call, answer, turn, writer);
+        let relay = self.relay(call, answer, turn, log, writer);
         match timeout_at(call.deadline, relay).await {
             Ok(end) => end,
             Err(_) => CallEnd::cut("deadline_midway", Some(upstream)),
--- a/src/gateway/call/quota.rs
+++ b/src/gateway/call/quota.rs
@@ -21,7 +21,7 @@
 impl CallPlace {
     /// Gives the place back if no upstream has run the call: only what runs counts.
     pub(super) fn settle(mut self, log: &AttemptLog) {
-        let unrun = log.runs.get() == 0 && !log.exposed.get();
+        let unrun = !log.may_have_run();
         if let Some(place) = self.place.take().filter(|_| unrun) {
             self.quotas.give_back(place);
         }
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -61,6 +61,8 @@
     pub priority: Option<u8>,
     /// Whose request it is; none where nobody had to show a key.
     pub workspace: Option<WorkspaceId>,
+    /// The event after which a stream that broke off goes on; absent where it begins.
+    pub last_event: Option<Box<str>>,
 }
 
 /// What an upstream's answer says about itself.
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -118,6 +118,7 @@
         deadline: Duration::from_millis(1_234),
         priority: Some(2),
         workspace: Some("acme".into()),
+        last_event: Some("7".into()),
     };
     let sent = PlatformDialect.upstream_headers(&caller, &attempt);
     let mut lines: Vec<String> =
@@ -126,6 +127,7 @@
     insta::assert_debug_snapshot!(lines, @r#"
     [
         "host: h",
+        "last-event-id: 7",
         "merlinsaddle-deadline-ms: 1234",
         "merlinsaddle-expect-instance: i-1",
         "merlinsaddle-request-id: r1",
@@ -199,6 +201,7 @@
                 retention: Some(
                     60s,
                 ),
+                is_resumable: false,
                 is_open: false,
             },
         ),
@@ -221,6 +224,7 @@
                 sticky: false,
                 keeps_history: false,
                 retention: None,
+                is_resumable: false,
                 is_open: true,
             },
         ),
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,10 @@
     LoseAnswer,
     /// The stream ends after so many events, without its end.
     CutAfter(usize),
+    /// The stream ends in the middle of the event after so many.
+    CutInside(usize),
+    /// A stream from its first event, whatever it should go on after.
+    FromStart,
     /// A late answer to another request comes first.
     ForeignFirst,
     /// Bytes follow the answer.
@@ -102,10 +107,18 @@
         }
         state.runs.push(request.clone());
         let is_stream = request.target().contains("/turn");
-        let events = |count: usize, end: bool| stream(&head, count, end);
+        let after: usize = request.header("last-event-id").parse().unwrap_or(0);
+        let events = |count: usize, end: bool| stream(&head, after + 1..=count, end);
         match act {
             Some(EngineAct::LoseAnswer) => vec![Step::Close],
             Some(EngineAct::CutAfter(count)) => vec![Step::Send(events(count, false)), Step::Close],
+            Some(EngineAct::CutInside(count)) => {
+                let mut bytes = events(count, false);
+                let text = format!("id: {}\nda", count + 1);
+                bytes.extend(format!("{:x}\r\n{text}\r\n", text.len()).bytes());
+                vec![Step::Send(bytes), Step::Close]
+            }
+            Some(EngineAct::FromStart) => vec![Step::Send(stream(&head, 1..=EVENTS, true))],
             Some(EngineAct::ForeignFirst) => {
                 let foreign = answer(200, "merlinsaddle-request-id: other\r\n", b"not yours");
                 vec![foreign, answer(200, &head, b"mine")]
@@ -138,9 +151,9 @@
     format!("HTTP/1.1 200 OK\r\n{head}{kind}\r\n").into()
 }
 
-fn stream(head: &str, events: usize, end: bool) -> Vec<u8> {
+fn stream(head: &str, events: RangeInclusive<usize>, end: bool) -> Vec<u8> {
     let mut bytes = stream_head(head);
-    bytes.extend((1..=events).flat_map(chunk));
+    bytes.extend(events.flat_map(chunk));
     if end {
         bytes.extend(b"0\r\n\r\n");
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -29,6 +29,7 @@
         sticky: false,
         keeps_history: false,
         retention: None,
+        is_resumable: false,
         is_open: false,
     }
 }
