Let readers of news follow one another, so that the store tells its upstreams a fixed number of times

Cause: one of 16 instances asked the store for news. Each restart read the whole list from the store besides, and whenever the store dropped its history all followers were sent the whole list again. Ruled out: fewer readers with longer lists of followers (one instance on an eighth of a core would answer 200); asking less often (each sign is told once all the same). Change: readers of a zone beyond four follow one of themselves, level by level; news carry how many instances they came through, which bounds their age. An instance that starts before a list of several pages takes the rest from its reader. A list read anew is told by its difference, and long lists go in pages of 500. Deployments of up to 64 instances a zone and 500 upstreams are left as they were.

--- a/src/core/members/groups.rs
+++ b/src/core/members/groups.rs
@@ -47,3 +47,24 @@
     }
     favourite(me, leaders).map_or(GroupPlace::Leads, GroupPlace::Follows)
 }
+
+/// Who does a work for `me` in a tree: one of `span` members does it for the others, and so on among
+/// those, until no more than `roots` are left that do it by themselves.
+pub fn tree_place<'a>(
+    work: &str,
+    me: &str,
+    span: usize,
+    roots: usize,
+    members: impl IntoIterator<Item = &'a str>,
+) -> GroupPlace<'a> {
+    let mut level = leaders(work, span, members);
+    loop {
+        if !level.contains(&me) {
+            return favourite(me, level).map_or(GroupPlace::Leads, GroupPlace::Follows);
+        }
+        if level.len() <= roots {
+            return GroupPlace::Leads;
+        }
+        level = leaders(work, span, level);
+    }
+}
--- a/src/core/members/mod.rs
+++ b/src/core/members/mod.rs
@@ -6,6 +6,6 @@
 mod spread;
 mod table;
 
-pub use groups::{GroupPlace, favourite, group_place, leaders};
+pub use groups::{GroupPlace, favourite, group_place, leaders, tree_place};
 pub use message::{GossipBody, GossipMessage, MemberInfo, MemberLoad, MemberState};
 pub use table::{MemberAction, MemberSettings, MemberTable};
--- a/src/gateway/members/roles.rs
+++ b/src/gateway/members/roles.rs
@@ -3,16 +3,17 @@
 use rand::seq::SliceRandom;
 
 use super::{MemberView, is_offered};
-use crate::core::members::{GroupPlace, MemberInfo, MemberState, group_place};
+use crate::core::members::{GroupPlace, MemberInfo, MemberState, group_place, tree_place};
 use crate::core::quotas::{LimiterStanding, QuotaMember};
 use crate::gateway::news::NewsReaders;
 use crate::gateway::quotas::QuotaPeers;
 use crate::gateway::store::RelayPeers;
 
-/// Instances for each one that asks the store for news. Fifteen followers ask it 25 times a second,
-/// which is 0.4% of a core at 0.15 ms each (worked out); at 295 instances 20 readers ask the store 50
-/// times a second instead of 740.
+/// Instances for each one that tells the others the store's news.
 const READER_SPAN: usize = 16;
+/// Readers of a zone that ask the store themselves. Beyond that they follow one of them: what the store
+/// tells of its upstreams grows with their number, so it must not grow with the instances too.
+const READER_ROOTS: usize = 4;
 
 impl QuotaPeers for MemberView {
     fn doubts(&self) -> u64 {
@@ -69,11 +70,17 @@
         let me = table.me();
         let near = table.iter().filter(|member| is_offered(member) && member.zone == me.zone);
         let names = near.map(|member| &*member.instance);
-        let GroupPlace::Follows(reader) = group_place("news", &me.instance, READER_SPAN, names)
-        else {
-            return None;
-        };
+        let place = tree_place("news", &me.instance, READER_SPAN, READER_ROOTS, names);
+        let GroupPlace::Follows(reader) = place else { return None };
         let reader = table.iter().find(|member| *member.instance == *reader)?;
         Some(reader.rpc_address.clone())
     }
+
+    fn reads_news(&self) -> bool {
+        let table = self.table.borrow();
+        let me = table.me();
+        let near = table.iter().filter(|member| is_offered(member) && member.zone == me.zone);
+        let names = near.map(|member| &*member.instance);
+        group_place("news", &me.instance, READER_SPAN, names) == GroupPlace::Leads
+    }
 }
--- a/src/gateway/news/follow.rs
+++ b/src/gateway/news/follow.rs
@@ -68,9 +68,11 @@
             oldest = oldest.or(Some(reply.version));
             let last = reply.rows.last().map(|row| format!("{}\0", row.key.key));
             rows.extend(reply.rows);
-            match last.filter(|_| reply.truncated) {
-                Some(next) => range.from = Some(next.into()),
-                None => break,
+            let Some(next) = last.filter(|_| reply.truncated) else { break };
+            range.from = Some(next.into());
+            // The store's bytes have a price, a peer's of the zone have none.
+            if !self.is_complete() && self.start_from_reader().await {
+                return Ok(());
             }
         }
         self.replace_upstreams(rows, oldest.unwrap_or_default(), asked);
--- a/src/gateway/news/messages.rs
+++ b/src/gateway/news/messages.rs
@@ -1,5 +1,6 @@
 //! What a follower and a reader of news say to each other: a line of JSON, then the rows' values.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -14,6 +15,9 @@
 pub(super) struct NewsQuestion {
     pub(super) routes_after: RowVersion,
     pub(super) upstreams_after: RowVersion,
+    /// Whether it goes on reading all upstreams from there, page by page.
+    #[serde(default)]
+    pub(super) continues: bool,
     /// How long the reader may hold the question while there is nothing new.
     pub(super) hold_ms: u64,
 }
@@ -34,6 +38,8 @@
     head: RowVersion,
     age_ms: u64,
     whole: bool,
+    #[serde(default)]
+    more: bool,
     rows: Vec<RowHead>,
 }
 
@@ -44,6 +50,9 @@
     /// How long ago the reader saw the store return, if that was lately.
     returned_ms: Option<u64>,
     held_ms: u64,
+    /// Instances between the store and the reader.
+    #[serde(default)]
+    hops: u32,
 }
 
 /// What a reader knows of one table.
@@ -64,6 +73,8 @@
     pub(super) returned: Option<Duration>,
     /// How long the reader held the question.
     pub(super) held: Duration,
+    /// Instances between the store and the reader.
+    pub(super) hops: u32,
 }
 
 impl TableNews {
@@ -78,6 +89,7 @@
             head: self.head,
             age_ms: self.age.as_millis() as u64,
             whole: self.page.whole,
+            more: self.page.more,
             rows: self.page.rows.iter().map(head).collect(),
         };
         (table, self.page.rows.iter().filter_map(|row| row.value.as_deref()))
@@ -97,18 +109,46 @@
             rows.push(StoredRow { key, value, version: row.version });
         }
         let age = Duration::from_millis(head.age_ms);
-        Ok(Self { head: head.head, age, page: NewsPage { whole: head.whole, rows } })
+        Ok(Self {
+            head: head.head,
+            age,
+            page: NewsPage { whole: head.whole, more: head.more, rows },
+        })
     }
 }
 
 impl NewsReply {
+    /// Several pages as one reply; the first says whether they are all rows, the last up to when.
+    pub(super) fn join(pages: Vec<Self>) -> Option<Self> {
+        let whole = pages.first()?.upstreams.page.whole;
+        let whole_routes = pages.first()?.routes.page.whole;
+        let (mut rows, mut routes) = (Vec::new(), Vec::new());
+        let mut last = None;
+        for mut page in pages {
+            rows.append(&mut page.upstreams.page.rows);
+            routes.append(&mut page.routes.page.rows);
+            last = Some(page);
+        }
+        let mut joined = last?;
+        // A row that changed meanwhile comes again, the newest last.
+        if whole {
+            let newest: HashMap<RowKey, StoredRow> =
+                rows.into_iter().map(|row| (row.key.clone(), row)).collect();
+            rows = newest.into_values().filter(|row| row.value.is_some()).collect();
+        }
+        joined.routes.page = NewsPage { whole: whole_routes, more: false, rows: routes };
+        joined.upstreams.page = NewsPage { whole, more: false, rows };
+        Some(joined)
+    }
+
     pub(super) fn encode(&self) -> Bytes {
         let (routes, route_values) = self.routes.split();
         let (upstreams, upstream_values) = self.upstreams.split();
         let returned_ms = self.returned.map(|returned| returned.as_millis() as u64);
         let values: Vec<&[u8]> = route_values.chain(upstream_values).collect();
         let held_ms = self.held.as_millis() as u64;
-        frame(&ReplyHead { routes, upstreams, returned_ms, held_ms }, &values)
+        let hops = self.hops;
+        frame(&ReplyHead { routes, upstreams, returned_ms, held_ms, hops }, &values)
     }
 
     /// Reads a reply about these tables.
@@ -122,6 +162,6 @@
         let upstreams = TableNews::join(upstreams_table, head.upstreams, &mut values)?;
         let returned = head.returned_ms.map(Duration::from_millis);
         let held = Duration::from_millis(head.held_ms);
-        Ok(Self { routes, upstreams, returned, held })
+        Ok(Self { routes, upstreams, returned, held, hops: head.hops })
     }
 }
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -56,6 +56,10 @@
     changed: Notify,
     /// Whether a reader tells the news, so that this instance does not ask the store.
     led: Cell<bool>,
+    /// Instances between the store and this one.
+    hops: Cell<u32>,
+    /// Who reads news for this instance.
+    readers: Option<Rc<dyn NewsReaders>>,
     /// Tells of the end of that.
     released: Notify,
     /// Held while the routes are read for requests that wait.
@@ -67,6 +71,7 @@
         store: Rc<StoreLink>,
         pool: Rc<ConnectionPool>,
         dialect: Rc<dyn GatewayDialect>,
+        readers: Option<Rc<dyn NewsReaders>>,
     ) -> Self {
         Self {
             store,
@@ -82,6 +87,8 @@
             upstream_log: RefCell::default(),
             changed: Notify::new(),
             led: Cell::new(false),
+            hops: Cell::new(0),
+            readers,
             released: Notify::new(),
             refresh: Mutex::new(()),
         }
@@ -145,7 +152,7 @@
         for row in &rows {
             self.take_routes(row);
         }
-        self.route_log.borrow_mut().restart(rows, head, asked.steady());
+        self.route_log.borrow_mut().replace(rows, head, asked.steady());
         self.confirm_routes(asked.steady(), asked);
         self.changed.notify_waiters();
     }
@@ -205,7 +212,7 @@
         upstreams.replace(entries, Instant::now());
         self.forget_left(&mut upstreams);
         self.upstreams_known.set(true);
-        self.upstream_log.borrow_mut().restart(rows, head, asked);
+        self.upstream_log.borrow_mut().replace(rows, head, asked);
         self.changed.notify_waiters();
     }
 
--- a/src/gateway/news/table_log.rs
+++ b/src/gateway/news/table_log.rs
@@ -1,16 +1,19 @@
 //! What an instance can tell others of a table that it follows.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use crate::gateway::rows::{RowVersion, StoredRow};
+use crate::gateway::rows::{RowKey, RowVersion, StoredRow};
 
 /// Removals remembered. Whoever asks from before a forgotten one gets all rows instead; 4,096 outlast
 /// 20 s in which 200 rows go each second.
 const MAX_REMOVALS: usize = 4_096;
 
+/// Most rows in one page.
+const PAGE_ROWS: usize = 500;
+
 type RowName = Box<str>;
 
 /// What a follower that knows the table up to some version is to be told.
@@ -18,6 +21,8 @@
 pub(super) struct NewsPage {
     /// Whether these are all rows, so that others are gone.
     pub(super) whole: bool,
+    /// Whether more rows follow the last one.
+    pub(super) more: bool,
     pub(super) rows: Vec<StoredRow>,
 }
 
@@ -45,11 +50,26 @@
         self.confirmed.map(|at| at.elapsed())
     }
 
-    /// Starts anew with all rows that there are; what was removed before is no longer known.
-    pub(super) fn restart(&mut self, rows: Vec<StoredRow>, head: RowVersion, asked: Instant) {
-        *self = Self { floor: head, confirmed: self.confirmed, ..Self::default() };
+    /// Takes all rows that there are at a version. Those that are as they were are no news, so whoever
+    /// follows is told of the difference only.
+    pub(super) fn replace(&mut self, rows: Vec<StoredRow>, head: RowVersion, asked: Instant) {
+        let is_first = self.confirmed.is_none();
+        let listed: HashSet<RowName> = rows.iter().map(|row| row.key.key.clone()).collect();
+        let former = self.rows.values().filter(|row| row.value.is_some());
+        let gone: Vec<RowKey> = former
+            .filter(|row| !listed.contains(&row.key.key))
+            .map(|row| row.key.clone())
+            .collect();
+        for key in gone {
+            self.put(StoredRow { key, value: None, version: head });
+        }
         for row in rows {
-            self.put(row);
+            if self.newest.get(&row.key.key).is_none_or(|known| *known < row.version) {
+                self.put(row);
+            }
+        }
+        if is_first {
+            self.floor = head;
         }
         self.advance(head, asked);
     }
@@ -86,13 +106,22 @@
         self.confirmed = self.confirmed.max(Some(asked));
     }
 
-    /// What a follower is to be told that knows all changes up to `after`.
-    pub(super) fn since(&self, after: RowVersion) -> NewsPage {
-        if after < self.floor {
-            let rows = self.rows.values().filter(|row| row.value.is_some());
-            return NewsPage { whole: true, rows: rows.cloned().collect() };
+    /// What a follower is to be told that knows all changes up to `after`, or that goes on from there
+    /// with a page of all rows.
+    pub(super) fn since(&self, after: RowVersion, continues: bool) -> NewsPage {
+        let whole = after < self.floor && !continues;
+        let from = if whole { 0 } else { after + 1 };
+        let rows = self.rows.range((from, RowName::default())..).map(|(_, row)| row);
+        let mut rows = rows.filter(|row| !whole || row.value.is_some()).peekable();
+        let mut page = Vec::new();
+        while let Some(row) = rows.next() {
+            // Rows of one version are not parted, as the next page begins after it.
+            let parts = rows.peek().is_some_and(|next| next.version > row.version);
+            page.push(row.clone());
+            if page.len() >= PAGE_ROWS && parts {
+                return NewsPage { whole, more: true, rows: page };
+            }
         }
-        let rows = self.rows.range((after + 1, RowName::default())..);
-        NewsPage { whole: false, rows: rows.map(|(_, row)| row.clone()).collect() }
+        NewsPage { whole, more: false, rows: page }
     }
 }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -17,7 +17,7 @@
 use super::http::ConnectionPool;
 use super::members::MemberView;
 use super::metrics::GatewayMetrics;
-use super::news::StoreNews;
+use super::news::{NewsReaders, StoreNews};
 use super::offer::CallerOffer;
 use super::quotas::{LeastMembers, LimiterQuota, QuotaKeeper, ShareQuota, SizeKeeper};
 use super::server::serve_callers;
@@ -113,7 +113,9 @@
     if settings.uses(GatewayMechanism::Relays) {
         store.set_peers(members.clone());
     }
-    let news = Rc::new(StoreNews::new(store.clone(), pool.clone(), dialect.clone()));
+    let readers = settings.uses(GatewayMechanism::NewsReaders);
+    let readers = readers.then(|| members.clone() as Rc<dyn NewsReaders>);
+    let news = Rc::new(StoreNews::new(store.clone(), pool.clone(), dialect.clone(), readers));
     let quotas = launch_quotas(&settings, &store, &members, &news);
     let cache_bytes = settings.cache_bytes();
     let committer =
@@ -150,9 +152,7 @@
     let instance = gateway.settings.instance.clone();
     let sweeper = ProgramSweeper::new(instance, gateway.store.clone(), news.clone());
     actix_rt::spawn(sweeper.run());
-    if gateway.settings.uses(GatewayMechanism::NewsReaders) {
-        actix_rt::spawn(news.clone().follow_readers(members.clone()));
-    }
+    actix_rt::spawn(news.clone().follow_readers());
     actix_rt::spawn(members.run());
     actix_rt::spawn(news.clone().follow_routes());
     actix_rt::spawn(news.clone().follow_upstreams());
--- a/tests/news_readers.rs
+++ b/tests/news_readers.rs
@@ -2,11 +2,13 @@
 
 mod platform_standin;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use merlinsaddle::core::members::{GroupPlace, group_place};
+use merlinsaddle::core::members::{GroupPlace, group_place, tree_place};
 use platform_standin::store::StoreFault;
 use platform_standin::{Deployment, TestGateway, call, default_routes, route, wait_until};
+use rstest::rstest;
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
@@ -125,3 +127,53 @@
     }
     assert_eq!(third.seen(), seen + 6);
 }
+
+/// Guards against readers of the store whose number grows with the instances, and against one instance
+/// that has to tell all others.
+#[rstest]
+#[case(12, 1, 1)]
+#[case(60, 4, 1)]
+#[case(200, 1, 2)]
+#[case(2_000, 1, 3)]
+fn news_come_by_a_tree(#[case] members: usize, #[case] roots: usize, #[case] depth: usize) {
+    let names: Vec<String> = (0..members).map(|number| format!("instance-{number}")).collect();
+    let place = |me: &str| tree_place("news", me, 16, 4, names.iter().map(|name| &**name));
+    let mut followers: BTreeMap<&str, usize> = BTreeMap::new();
+    let mut own = 0;
+    for name in &names {
+        let mut hops = 0;
+        let mut at = &**name;
+        while let GroupPlace::Follows(reader) = place(at) {
+            if hops == 0 {
+                *followers.entry(reader).or_default() += 1;
+            }
+            at = reader;
+            hops += 1;
+        }
+        own += usize::from(hops == 0);
+        assert!(hops <= depth, "{name} is {hops} instances from the store");
+    }
+    assert_eq!(own, roots);
+    let most = followers.values().max().copied().unwrap_or_default();
+    assert!(most <= 64, "one instance tells {most} others");
+}
+
+/// Guards against a start that reads thousands of upstreams from the store though a peer has them all.
+#[actix_rt::test]
+async fn a_start_reads_a_long_list_from_a_reader() {
+    let mut deployment = Deployment::start(0, 1).await;
+    for number in 0..1_200 {
+        deployment.list_engine(&format!("far-{number}"), "127.0.0.1:1", "draining");
+    }
+    deployment.add_gateway(0).await;
+    let read = |deployment: &Deployment| deployment.store.calls_with("/rows-get?table=servers");
+    let alone = read(&deployment);
+    assert!(alone >= 3, "{alone} pages");
+    deployment.add_gateway(1).await;
+    assert_eq!(read(&deployment) - alone, 1, "the first page tells that the list is long");
+    deployment.all_named().await;
+    for number in 0..4 {
+        let id = format!("c{number}");
+        assert_eq!(deployment.gateways[1].call(&call("book", &id)).await.status(), 200);
+    }
+}
