Give requests that run once only connections proven of late, and leave a silent upstream soon

Ruled out: telling each other of dead upstreams; at two calls a second an instance most are met once only, and the news would come after that. Change: a request that must not run twice takes a kept connection only if that carried an answer within the last second, and a new one otherwise, which proves that the peer is there; an upstream that does not take a connection within eight times the usual time (40 ms at least) is left for the next, with twice the patience. Shown: pool_tests.rs, failing before.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -11,7 +11,7 @@
 use super::call::CallContext;
 use super::dialect::{AnswerHead, AttemptHead};
 use super::events::EventId;
-use super::http::{AnswerError, UpstreamConnection};
+use super::http::{AnswerError, ConnectPlan, UpstreamConnection};
 use super::refusal::Refusal;
 use super::{Gateway, GatewayMechanism};
 use crate::core::ids::UpstreamId;
@@ -147,6 +147,8 @@
     pub(crate) exposed: Cell<bool>,
     /// Upstreams that have run the request, by their lives.
     engines: RefCell<Vec<UpstreamLife>>,
+    /// Upstreams that took no connection.
+    unreached: Cell<u32>,
     /// Times it was sent again to the upstream that broke it off.
     reruns: Cell<u32>,
     /// The last event that was passed on, after which a stream goes on.
@@ -345,9 +347,11 @@
         log: &AttemptLog,
     ) -> Result<UpstreamAnswer, AttemptError> {
         let guard = AttemptGuard::new(self, call, choice);
-        let connection = self.pool.get(&choice.address).await;
+        let plan = ConnectPlan { proven: !call.route.is_idempotent(), tried: log.unreached.get() };
+        let connection = self.pool.get_planned(&choice.address, plan).await;
         let mut connection = connection.map_err(|error| {
             log::debug!("event=connect_failed upstream={} error=\"{error}\"", choice.id);
+            log.unreached.set(log.unreached.get() + 1);
             guard.record(AttemptResult::Unreachable);
             AttemptError::NotRun(AttemptResult::Unreachable)
         })?;
--- a/src/gateway/http/pool.rs
+++ b/src/gateway/http/pool.rs
@@ -1,6 +1,6 @@
 //! Connections that wait for their next request, by address.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,9 +12,19 @@
 use tokio::time::{Instant, timeout};
 
 use super::{AnswerError, UpstreamConnection, watch_peer};
+use crate::gateway::usual::UsualTime;
 
-/// A connection takes a few milliseconds; a lost opening packet is repeated only after a second.
+/// Longest time for a connection: a lost opening packet is repeated only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Shortest time for one where another upstream can be tried instead, and its multiple of the usual time.
+const CONNECT_MIN: Duration = Duration::from_millis(40);
+const CONNECT_FACTOR: f64 = 8.0;
+/// Share of the newest connection in the usual time.
+const CONNECT_SHARE: f64 = 0.125;
+/// How long ago a kept connection may have carried an answer that is given a request which must not run
+/// twice. A peer that is gone without a word is noticed seconds later, and what was sent to it meanwhile
+/// can neither be answered nor sent again.
+const PROVEN_FOR: Duration = Duration::from_secs(1);
 /// Idle time allowed where the peer names none; common servers close after five seconds.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Subtracted from the time the peer names, so that no request meets its close.
@@ -50,21 +60,46 @@
 struct IdleConnection {
     connection: UpstreamConnection,
     until: Instant,
+    /// When it last carried an answer.
+    used: Instant,
+}
+
+/// How a connection for a request is got.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ConnectPlan {
+    /// Whether the request must not run twice, so that it goes only where the peer was there just now.
+    pub(crate) proven: bool,
+    /// Connections that the request has tried in vain.
+    pub(crate) tried: u32,
 }
 
 /// All idle connections of an instance.
-#[derive(Default)]
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<Box<str>, Vec<IdleConnection>>>,
+    usual_connect: Cell<UsualTime>,
+}
+
+impl Default for ConnectionPool {
+    fn default() -> Self {
+        let usual_connect = Cell::new(UsualTime::new(CONNECT_SHARE));
+        Self { idle: RefCell::default(), usual_connect }
+    }
 }
 
 impl ConnectionPool {
     /// A kept connection that is still good; the one used last comes first.
     pub(crate) fn take(&self, address: &str) -> Option<UpstreamConnection> {
+        self.take_used_since(address, None)
+    }
+
+    /// A kept connection that carried an answer since then.
+    fn take_used_since(&self, address: &str, since: Option<Instant>) -> Option<UpstreamConnection> {
         let mut idle = self.idle.borrow_mut();
         let waiting = idle.get_mut(address)?;
         let now = Instant::now();
-        while let Some(mut candidate) = waiting.pop() {
+        while let Some(mut candidate) =
+            waiting.pop_if(|candidate| since.is_none_or(|since| candidate.used >= since))
+        {
             if now < candidate.until && candidate.connection.is_quiet() {
                 return Some(candidate.connection);
             }
@@ -79,15 +114,44 @@
 
     /// Opens a connection.
     pub(crate) async fn connect(&self, address: &str) -> Result<UpstreamConnection, ConnectError> {
+        self.connect_within(address, CONNECT_TIMEOUT).await
+    }
+
+    async fn connect_within(
+        &self,
+        address: &str,
+        patience: Duration,
+    ) -> Result<UpstreamConnection, ConnectError> {
         let parsed: SocketAddr =
             address.parse().map_err(|_| ConnectError::BadAddress { address: address.into() })?;
-        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(parsed))
+        let begun = Instant::now();
+        let stream = timeout(patience, TcpStream::connect(parsed))
             .await
             .map_err(|_| ConnectError::Late)??;
+        let mut usual = self.usual_connect.get();
+        usual.answered(begun);
+        self.usual_connect.set(usual);
         watch_peer(&stream);
         Ok(UpstreamConnection::new(stream))
     }
 
+    /// A connection for a request that may still go elsewhere: an upstream that does not take one in a
+    /// multiple of the usual time is left for the next, with more patience each time.
+    pub(crate) async fn get_planned(
+        &self,
+        address: &str,
+        plan: ConnectPlan,
+    ) -> Result<UpstreamConnection, ConnectError> {
+        let since = Instant::now().checked_sub(PROVEN_FOR).filter(|_| plan.proven);
+        if let Some(connection) = self.take_used_since(address, since) {
+            return Ok(connection);
+        }
+        let usual = self.usual_connect.get();
+        let least = usual.scaled(CONNECT_FACTOR, CONNECT_MIN, CONNECT_TIMEOUT);
+        let patience = least * 2_u32.saturating_pow(plan.tried.min(4));
+        self.connect_within(address, patience.min(CONNECT_TIMEOUT)).await
+    }
+
     /// A kept connection or a new one.
     pub(crate) async fn get(&self, address: &str) -> Result<UpstreamConnection, ConnectError> {
         match self.take(address) {
@@ -110,7 +174,8 @@
         let mut idle = self.idle.borrow_mut();
         let waiting = idle.entry(address.into()).or_default();
         if waiting.len() < MAX_IDLE {
-            waiting.push(IdleConnection { connection, until: Instant::now() + keep });
+            let now = Instant::now();
+            waiting.push(IdleConnection { connection, until: now + keep, used: now });
         }
     }
 
--- /dev/null
+++ b/src/gateway/http/pool_tests.rs
@@ -0,0 +1,62 @@
+//! Which connection a request gets.
+
+use std::time::Duration;
+
+use socket2::{Domain, Socket, Type};
+use tokio::net::TcpListener;
+use tokio::time::{Instant, advance, pause};
+
+use super::pool::{ConnectPlan, ConnectionPool};
+
+const ONCE: ConnectPlan = ConnectPlan { proven: true, tried: 0 };
+const AGAIN: ConnectPlan = ConnectPlan { proven: false, tried: 0 };
+
+/// Guards against a request that must not run twice on a connection whose peer may be gone.
+#[actix_rt::test]
+async fn a_request_that_runs_once_gets_a_proven_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("it is bound").to_string();
+    let pool = ConnectionPool::default();
+    let first = pool.get_planned(&address, ONCE).await.expect("it connects");
+    let _accepted = listener.accept().await.expect("it comes");
+    pool.put(&address, first, None);
+    pause();
+    advance(Duration::from_millis(900)).await;
+    let soon = pool.get_planned(&address, ONCE).await.expect("it is kept");
+    pool.put(&address, soon, None);
+    advance(Duration::from_millis(1_100)).await;
+    tokio::time::resume();
+    let _late = pool.get_planned(&address, ONCE).await.expect("it connects");
+    listener.accept().await.expect("a second one comes");
+    assert!(pool.has_idle(&address), "the first one is left for others");
+    pool.get_planned(&address, AGAIN).await.expect("it is kept");
+    assert!(!pool.has_idle(&address));
+}
+
+/// Guards against a request that waits for a machine without power though others could serve it.
+#[actix_rt::test]
+async fn a_silent_upstream_is_left_for_the_next_soon() {
+    let socket = Socket::new(Domain::IPV4, Type::STREAM, None).expect("a socket");
+    let any: std::net::SocketAddr = "127.0.0.1:0".parse().expect("an address");
+    socket.bind(&any.into()).expect("a free port");
+    socket.listen(0).expect("it listens");
+    let bound = socket.local_addr().expect("it is bound").as_socket().expect("it is IPv4");
+    // The kernel drops opening packets once its queue is full.
+    let _filling: Vec<_> = (0..4)
+        .map(|_| {
+            std::thread::spawn(move || {
+                std::net::TcpStream::connect_timeout(&bound, Duration::from_secs(1))
+            })
+        })
+        .collect();
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let pool = ConnectionPool::default();
+    let patience = async |tried| {
+        let begun = Instant::now();
+        let plan = ConnectPlan { proven: true, tried };
+        assert!(pool.get_planned(&bound.to_string(), plan).await.is_err());
+        begun.elapsed()
+    };
+    assert!(patience(0).await < Duration::from_millis(200));
+    assert!(patience(9).await >= Duration::from_millis(400));
+}
