Choose among the first of an order and what is known, not among thousands

Change: an index by service with hashes kept; the first 32 usable ones of the order are priced, besides those that hold parts of the prompt, those used of late and the holder of the chain; places beyond cost alike. Where all of these have failed, all are looked at. Shown: a_chain_stays_where_it_is_among_thousands (failing before), any_of_thousands_serves_where_the_first_have_failed, an_object_goes_to_the_same_upstream_everywhere.

--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -21,6 +21,11 @@
 /// Difference between one upstream and the next in an object's order, in milliseconds. It gathers
 /// the requests about an object on the same upstreams of all instances, and yields to load.
 const ORDER_COST_MS: f64 = 6.0;
+/// Upstreams of an order that a choice looks at, and the last place that costs more than the one before:
+/// among thousands, chance and the order of an object must not outweigh what an upstream holds.
+const NEAR_RANKS: usize = 32;
+/// Upstreams that hold part of a prompt at which a choice looks besides.
+const MAX_HOLDERS: usize = 64;
 /// Difference that chance makes between upstreams that cost the same, in milliseconds.
 const CHANCE_COST_MS: f64 = 2.0;
 /// What a new connection costs, in milliseconds: a way there and back, and its price.
@@ -70,49 +75,90 @@
     pub prefill_ms: f64,
 }
 
+/// An upstream that may be chosen, with its place in the request's order.
+type RankedUpstream<'a> = (usize, &'a TrackedUpstream);
+
 impl UpstreamTable {
     /// The cheapest ready upstream that was not tried yet.
     pub fn choose(&self, request: &ChoiceRequest<'_>) -> Option<UpstreamChoice> {
-        let ranked = self.ranked(request);
-        let priced = ranked
-            .iter()
-            .enumerate()
-            .map(|(rank, known)| (self.cost(known, rank, request), known))
-            .min_by(|(a, _), (b, _)| a.total_cmp(b));
-        let (cost_ms, known) = priced?;
+        let near = self.candidates(request, NEAR_RANKS);
+        let found = self.cheapest(&near, request);
+        // Where all of these have failed, any other may be better.
+        let failed = found.is_none_or(|(cost, _)| cost >= ASIDE_COST_MS);
+        let (candidates, (cost_ms, known)) = if failed {
+            let all = self.candidates(request, usize::MAX);
+            (all.len(), self.cheapest(&all, request)?)
+        } else {
+            (near.len(), found?)
+        };
         Some(UpstreamChoice {
             id: known.entry.id.clone(),
             born: known.entry.born,
             address: known.entry.address.clone(),
             cost_ms,
-            candidates: ranked.len(),
+            candidates,
             running: known.health.running,
             prefill_ms: self.prefill_ms(known, request),
         })
     }
 
-    /// Candidates in the order of the request's object, which is the same on every instance, or
-    /// by chance.
-    fn ranked<'a>(&'a self, request: &ChoiceRequest<'_>) -> Vec<&'a TrackedUpstream> {
-        let key = request.affinity.unwrap_or_default();
-        let salt = if request.affinity.is_some() { 0 } else { request.salt };
-        let usable = self.upstreams.values().filter(|known| {
-            *known.entry.service == *request.service
-                && self.is_usable(known, request.now)
-                && !request.tried.contains(&known.entry.id)
+    fn cheapest<'a>(
+        &self,
+        candidates: &[RankedUpstream<'a>],
+        request: &ChoiceRequest<'_>,
+    ) -> Option<(f64, &'a TrackedUpstream)> {
+        let priced =
+            candidates.iter().map(|(rank, known)| (self.cost(known, *rank, request), *known));
+        priced.min_by(|(a, _), (b, _)| a.total_cmp(b))
+    }
+
+    /// The first upstreams in the order of the request's object, which is the same on every instance,
+    /// or by chance, and whatever else may be cheaper: those that hold part of its prompt, and those to
+    /// which connections may be kept.
+    fn candidates<'a>(
+        &'a self,
+        request: &ChoiceRequest<'_>,
+        most: usize,
+    ) -> Vec<RankedUpstream<'a>> {
+        let key = request.affinity.map_or(request.salt, |key| xxh3_64(key.as_bytes()));
+        let mut ranked: Vec<RankedUpstream<'a>> = Vec::new();
+        self.index.visit(request.service, request.zone, key, |id| {
+            if let Some(known) = self.usable(id, request) {
+                ranked.push((ranked.len(), known));
+            }
+            ranked.len() < most
         });
-        let mut ranked: Vec<_> = usable
-            .map(|known| (xxh3_64(format!("{key}/{}/{salt}", known.entry.id).as_bytes()), known))
-            .collect();
-        // Those of the own zone come first, so that ranks count within the zone.
-        ranked.sort_by_key(|(hash, known)| (*known.entry.zone != *request.zone, *hash));
-        ranked.into_iter().map(|(_, known)| known).collect()
+        if ranked.len() < most {
+            return ranked;
+        }
+        // The last parts are a program's own, so those that hold them hold most of the prompt.
+        let parts = request.parts.iter().rev();
+        let holders = parts.filter_map(|part| self.resident.get(&part.part)).flatten();
+        let known = holders.take(MAX_HOLDERS).chain(self.recent.keys());
+        let mut others: Vec<&UpstreamId> = known.chain(request.holder).collect();
+        others.sort_unstable();
+        others.dedup();
+        for id in others {
+            let Some(known) = self.usable(id, request) else { continue };
+            if ranked[..most].iter().all(|(_, ranked)| ranked.entry.id != known.entry.id) {
+                ranked.push((most, known));
+            }
+        }
+        ranked
+    }
+
+    fn usable(&self, id: &UpstreamId, request: &ChoiceRequest<'_>) -> Option<&TrackedUpstream> {
+        let known = self.upstreams.get(id)?;
+        let usable = *known.entry.service == *request.service
+            && self.is_usable(known, request.now)
+            && !request.tried.contains(id);
+        usable.then_some(known)
     }
 
     fn cost(&self, known: &TrackedUpstream, rank: usize, request: &ChoiceRequest<'_>) -> f64 {
         let entry = &known.entry;
         let step = if request.affinity.is_some() { ORDER_COST_MS } else { CHANCE_COST_MS / 16.0 };
-        let mut cost = rank as f64 * step;
+        let mut cost = rank.min(NEAR_RANKS) as f64 * step;
         cost += f64::from(known.health.running) * RUNNING_COST_MS;
         cost += known.work.at(request.now);
         cost += self.prefill_ms(known, request) * MOVE_FACTOR;
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -2,6 +2,7 @@
 
 mod choice;
 mod health;
+mod index;
 mod table;
 
 use std::time::Duration;
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::index::ServiceIndex;
 use super::{
     AttemptResult, BirthMillis, PartId, RecentWork, UpstreamEntry, UpstreamHealth, UpstreamState,
 };
@@ -23,6 +24,12 @@
 /// some 0.5 MB.
 const MAX_BIRTHS: usize = 10_000;
 
+/// How long ago an attempt may be for its upstream to be looked at by every choice: connections are
+/// kept for some seconds.
+const RECENT: Duration = Duration::from_secs(5);
+/// Upstreams of late among which older ones are looked for.
+const MAX_RECENT: usize = 128;
+
 /// One line of news from the store's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum ListNews {
@@ -64,6 +71,9 @@
 #[derive(Debug, Default)]
 pub struct UpstreamTable {
     pub(super) upstreams: BTreeMap<UpstreamId, TrackedUpstream>,
+    pub(super) index: ServiceIndex,
+    /// When upstreams last got an attempt of this instance, those of late.
+    pub(super) recent: HashMap<UpstreamId, Instant>,
     /// Since when the store has not been readable.
     lost_since: Option<Instant>,
     /// When it became readable again.
@@ -115,6 +125,7 @@
             Some(known) => known.refresh(entry),
             None => {
                 let id = entry.id.clone();
+                self.index.insert(&entry);
                 self.upstreams.insert(id, TrackedUpstream::new(entry, now));
                 true
             }
@@ -126,7 +137,7 @@
         for holders in self.resident.values_mut() {
             holders.remove(id);
         }
-        let former = self.upstreams.remove(id);
+        let former = self.forget(id);
         self.left_addresses.extend(former.map(|known| known.entry.address));
     }
 
@@ -173,7 +184,14 @@
             }
             return false;
         }
-        self.upstreams.remove(id).is_some()
+        self.forget(id).is_some()
+    }
+
+    fn forget(&mut self, id: &str) -> Option<TrackedUpstream> {
+        let former = self.upstreams.remove(id)?;
+        self.index.remove(&former.entry);
+        self.recent.remove(id);
+        Some(former)
     }
 
     /// Whether an upstream may be given work. One that vanished about an outage may until it should
@@ -219,7 +237,7 @@
         let missing = self.upstreams.iter().filter(|(_, known)| known.missing);
         let gone: Vec<_> = missing.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.upstreams.remove(id);
+            self.forget(id);
         }
         gone
     }
@@ -250,10 +268,13 @@
 
     /// An attempt starts that is expected to keep the upstream busy for so long, in milliseconds.
     pub fn started(&mut self, id: &str, work_ms: f64, now: Instant) {
-        if let Some(known) = self.upstreams.get_mut(id) {
-            known.health.started(now);
-            known.work.add(work_ms, now);
+        let Some(known) = self.upstreams.get_mut(id) else { return };
+        known.health.started(now);
+        known.work.add(work_ms, now);
+        if self.recent.len() >= MAX_RECENT {
+            self.recent.retain(|_, used| now.saturating_duration_since(*used) < RECENT);
         }
+        self.recent.insert(id.into(), now);
     }
 
     /// The first bytes of an answer came, to an attempt that began then.
--- a/tests/upstream_choice.rs
+++ b/tests/upstream_choice.rs
@@ -237,3 +237,50 @@
     table.apply(life("a", 2_000, UpstreamState::Ready), Instant::now());
     assert_eq!(chosen(&table, &request(&[], None)).as_deref(), Some("a"));
 }
+
+/// Guards against chance that outweighs a chain where there are thousands of engines.
+#[tokio::test(start_paused = true)]
+async fn a_chain_stays_where_it_is_among_thousands() {
+    let names: Vec<String> = (0..3_000).map(|number| format!("e{number}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (&**name, "near")).collect();
+    let table = table(&entries);
+    let parts = long_prompt();
+    for holder in ["e17", "e1500", "e2999"] {
+        let id = holder.into();
+        for salt in 0..50 {
+            let turn = ChoiceRequest { parts: &parts, salt, ..request(&[], Some(&id)) };
+            assert_eq!(chosen(&table, &turn).as_deref(), Some(holder));
+        }
+    }
+}
+
+/// Guards against requests that are refused because the first of thousands have failed.
+#[tokio::test(start_paused = true)]
+async fn any_of_thousands_serves_where_the_first_have_failed() {
+    let names: Vec<String> = (0..3_000).map(|number| format!("e{number}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (&**name, "near")).collect();
+    let mut table = table(&entries);
+    let object = ChoiceRequest { affinity: Some("object"), ..request(&[], None) };
+    let mut failed = std::collections::BTreeSet::new();
+    for _ in 0..100 {
+        let id = chosen(&table, &object).expect("one is left");
+        table.started(&id, 0.0, Instant::now());
+        table.ended(&id, Instant::now(), AttemptResult::Unreachable, Instant::now());
+        assert!(failed.insert(id), "one that has failed is chosen again");
+    }
+}
+
+/// Guards against instances that send an object to different upstreams because they have heard of these
+/// in another order.
+#[tokio::test(start_paused = true)]
+async fn an_object_goes_to_the_same_upstream_everywhere() {
+    let names: Vec<String> = (0..200).map(|number| format!("e{number}")).collect();
+    let entries: Vec<_> = names.iter().map(|name| (&**name, "near")).collect();
+    let mut reversed = entries.clone();
+    reversed.reverse();
+    let (first, second) = (table(&entries), table(&reversed));
+    for object in ["a", "b", "c", "d"] {
+        let asked = |salt| ChoiceRequest { affinity: Some(object), salt, ..request(&[], None) };
+        assert_eq!(chosen(&first, &asked(1)), chosen(&second, &asked(2)));
+    }
+}
