Move a program's tokens to its next coordinator at once, and tell its turns which engine ran the last one

Ruled out: reservations a turn, which lose the most of a running turn all the same and cost a write each. Change: when members change, what is held of programs that another instance coordinates now is given back, at once or when their turns end, and no more is set aside ahead. The end of a turn tells the coordinator which engine ran it, by line of turns; the next claim's reply names it as the holder, like that of a kept chain. Shown: tokens_ahead_go_to_the_next_coordinator_at_once and turns_stay_at_their_engine_over_instances.

--- a/src/core/turns/coordinator.rs
+++ b/src/core/turns/coordinator.rs
@@ -65,5 +65,10 @@
     span: usize,
     members: impl IntoIterator<Item = &'a str>,
 ) -> Option<&'a str> {
-    favourite(program, leaders("turns", span, members))
+    favourite(program, coordinators(span, members))
+}
+
+/// The members of a zone that coordinate programs, one of `span`.
+pub fn coordinators<'a>(span: usize, members: impl IntoIterator<Item = &'a str>) -> Vec<&'a str> {
+    leaders("turns", span, members)
 }
--- a/src/core/turns/mod.rs
+++ b/src/core/turns/mod.rs
@@ -4,6 +4,7 @@
 mod cache;
 mod coordinator;
 mod ledger;
+mod lines;
 mod record;
 
 use std::time::Duration;
@@ -14,8 +15,9 @@
 
 pub use allowance::{AllowanceDemand, TURNS_AHEAD, TokenAllowance};
 pub use cache::{ChainLookup, TurnCache};
-pub use coordinator::{CoordinatorSpan, coordinator};
+pub use coordinator::{CoordinatorSpan, coordinator, coordinators};
 pub use ledger::{ProgramLedger, ReserveReply};
+pub use lines::{LineHolder, LineHolders, LineName};
 pub use record::{RecordError, TurnRecord, split_value};
 
 /// Name of a program, chosen by its caller.
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -213,10 +213,11 @@
             self.note_pace(&upstream, first_at, events.events() - before);
         }
         self.pool.put(&choice.address, connection, info.keep_alive);
-        if let Some(turn) = turn.filter(|_| status == StatusCode::OK) {
+        if let Some(mut turn) = turn.filter(|_| status == StatusCode::OK) {
             if !events.is_whole() {
                 return CallEnd::cut("stream_torn", Some(upstream));
             }
+            turn.note_holder(call.head.line.as_ref(), &choice);
             if turn.is_kept() && !turn.keep(&choice, events, call.deadline).await {
                 return CallEnd::cut("turn_not_kept", Some(upstream));
             }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -10,7 +10,9 @@
 use super::CallContext;
 use crate::core::admission::{AdmissionReply, AdmissionRequest};
 use crate::core::ids::{Tokens, UpstreamId};
-use crate::core::turns::{DEFAULT_RETENTION, ProgramName, TurnId, TurnRecord, TurnScope};
+use crate::core::turns::{
+    DEFAULT_RETENTION, LineHolder, LineName, ProgramName, TurnId, TurnRecord, TurnScope,
+};
 use crate::core::upstreams::UpstreamChoice;
 use crate::core::workspaces::owned_name;
 use crate::gateway::attempt::{AttemptLog, chain_body};
@@ -98,11 +100,18 @@
         };
         let claim = self.turn_claim(call, &names, scope, only_known.is_some());
         let claimed = self.claim_turn(call, claim, only_known, log).await?;
-        let ClaimedTurn { chain, reservation } = claimed;
+        let ClaimedTurn { chain, holder, reservation } = claimed;
         let input = call.body.clone();
-        if scope == TurnScope::History {
-            call.holder = self.chain_holder(&chain);
-            call.body = chain_body(&chain.turns, &input);
+        match scope {
+            TurnScope::History => {
+                call.holder = self.chain_holder(&chain);
+                call.body = chain_body(&chain.turns, &input);
+            }
+            TurnScope::Tokens => {
+                let upstreams = self.news.upstreams.borrow();
+                let holder = holder.filter(|held| upstreams.lives(&held.upstream, held.born));
+                call.holder = holder.map(|held| held.upstream);
+            }
         }
         let previous = names.previous;
         Ok(TurnWork { scope, previous, origin: chain.origin, input, reservation })
@@ -159,6 +168,7 @@
             // It is kept from its end on, which is not written apart.
             retention: retention + call.deadline.saturating_duration_since(Instant::now()),
             scope,
+            line: call.head.line.clone(),
             only_known,
         }
     }
@@ -262,6 +272,15 @@
 }
 
 impl TurnWork {
+    /// Notes which engine holds what the next turn of the line begins with.
+    pub(super) fn note_holder(&mut self, line: Option<&LineName>, choice: &UpstreamChoice) {
+        self.reservation.note_holder(LineHolder {
+            line: line.cloned(),
+            upstream: choice.id.clone(),
+            born: choice.born,
+        });
+    }
+
     /// Whether the turn's end waits until its record is durable.
     pub(super) fn is_kept(&self) -> bool {
         self.scope == TurnScope::History
--- a/src/gateway/dialect.rs
+++ b/src/gateway/dialect.rs
@@ -12,7 +12,7 @@
 };
 use crate::core::ids::{RequestId, Tokens, UpstreamId, WorkspaceId};
 use crate::core::routing::RouteTable;
-use crate::core::turns::{ProgramName, TurnId};
+use crate::core::turns::{LineName, ProgramName, TurnId};
 use crate::core::upstreams::{PromptPart, UpstreamEntry};
 use crate::core::workspaces::ApiKey;
 use crate::node::platform::StoreError;
@@ -27,6 +27,8 @@
     /// What requests about the same object share.
     pub affinity: Option<Box<str>>,
     pub program: Option<ProgramName>,
+    /// The line of turns of the program that it belongs to.
+    pub line: Option<LineName>,
     /// Time until the whole program should be done.
     pub finish: Option<Duration>,
     /// Tokens that all turns of the program may generate together.
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -14,9 +14,10 @@
 use crate::core::ids::{ConfigVersion, InstanceId};
 use crate::core::members::{
     GossipMessage, MemberAction, MemberInfo, MemberLoad, MemberSettings, MemberState, MemberTable,
+    favourite,
 };
 use crate::core::timeline::CausalClock;
-use crate::core::turns::{CoordinatorSpan, coordinator};
+use crate::core::turns::{CoordinatorSpan, ProgramName, coordinator, coordinators};
 use crate::node::peers::{decode_gossip, encode_gossip};
 
 const TICK: Duration = Duration::from_millis(100);
@@ -167,6 +168,27 @@
         (chosen.instance != me.instance).then(|| chosen.rpc_address.clone())
     }
 
+    /// Which of these programs this instance does not coordinate.
+    pub(crate) fn not_coordinated<'a>(
+        &self,
+        programs: impl IntoIterator<Item = &'a ProgramName>,
+    ) -> Vec<ProgramName> {
+        let table = self.table.borrow();
+        let me = table.me();
+        let near = table.iter().filter(|member| is_offered(member) && member.zone == me.zone);
+        let span = self.span.get().instances();
+        let coordinators = coordinators(span, near.map(|member| &*member.instance));
+        let others = programs.into_iter().filter(|program| {
+            favourite(program, coordinators.iter().copied()) != Some(&*me.instance)
+        });
+        others.cloned().collect()
+    }
+
+    /// Changes of the members that this instance has heard of.
+    pub(crate) fn changes(&self) -> u64 {
+        self.table.borrow().changes()
+    }
+
     /// Members that are alive as far as this instance knows, itself included.
     pub(crate) fn alive(&self) -> usize {
         let table = self.table.borrow();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -194,9 +194,14 @@
 impl Gateway {
     /// Says when the instance becomes ready, and looks after idle connections and peers' news.
     async fn do_chores(self: Rc<Self>) {
+        let mut seen = self.members.changes();
         loop {
             self.update_offer();
             self.pool.prune();
+            let changes = self.members.changes();
+            if std::mem::replace(&mut seen, changes) != changes || self.is_draining() {
+                self.turns.hand_over(|programs| self.members.not_coordinated(programs));
+            }
             self.follow_heads().await;
             sleep(if self.offer.is_announced() { CHORES_PACE } else { START_PACE }).await;
         }
--- a/src/gateway/turns/allowances.rs
+++ b/src/gateway/turns/allowances.rs
@@ -8,17 +8,16 @@
 use tokio::time::Instant;
 
 use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
-use super::{BACKGROUND_LIMIT, ReserveError, TurnChain, TurnKeeper};
-use crate::core::ids::Tokens;
+use super::{BACKGROUND_LIMIT, ReserveError, TurnChain, TurnEnd, TurnKeeper, TurnReservation};
 use crate::core::turns::{
-    ProgramLedger, ProgramName, ReserveReply, TURNS_AHEAD, TokenAllowance, TurnId, TurnScope,
+    LineHolders, ProgramLedger, ProgramName, ReserveReply, TURNS_AHEAD, TokenAllowance, TurnScope,
 };
 
 /// Times a turn is claimed whose ledger expires meanwhile.
 const CLAIM_TRIES: usize = 3;
 /// Unused for so long, an allowance may be given back: its program has ended or pauses.
 const IDLE: Duration = Duration::from_secs(30);
-/// A stop gives back allowances that were used so lately, as their programs go on elsewhere.
+/// Allowances that were used so lately are given back when another instance coordinates their programs.
 const IN_USE: Duration = Duration::from_secs(5);
 /// Allowances below which idle ones are not looked for.
 const PRUNE_LEAST: usize = 1_024;
@@ -27,6 +26,8 @@
 struct HeldAllowance {
     allowance: TokenAllowance,
     used_at: Instant,
+    /// Where the last turn of each line of the program ran.
+    lines: LineHolders,
     /// Whether it holds no tokens ahead, as another instance coordinates the program.
     stands_in: bool,
 }
@@ -54,7 +55,8 @@
             *made += 1;
             let name = format!("{life:016x}-{made}").into();
             let allowance = TokenAllowance::new(name);
-            HeldAllowance { allowance, used_at: Instant::now(), stands_in }
+            let lines = LineHolders::default();
+            HeldAllowance { allowance, used_at: Instant::now(), lines, stands_in }
         })
     }
 
@@ -101,13 +103,11 @@
         let mut held = self.reservation(&claim.program, &claim.turn);
         held.scope = TurnScope::Tokens;
         if self.draw(claim) {
-            return Ok(ClaimedTurn { chain: TurnChain::default(), reservation: held });
+            return Ok(self.claimed(claim, held));
         }
         for _ in 0..CLAIM_TRIES {
             match self.reserve(claim, limit, source, &mut held).await {
-                Ok(()) => {
-                    return Ok(ClaimedTurn { chain: TurnChain::default(), reservation: held });
-                }
+                Ok(()) => return Ok(self.claimed(claim, held)),
                 Err(ReserveError::Expired) => {}
                 Err(ReserveError::Exhausted { committed }) => {
                     return Err(ClaimError::Exhausted { committed });
@@ -119,6 +119,13 @@
         Err(ClaimError::NoSuchTurn)
     }
 
+    fn claimed(&self, claim: &TurnClaim, reservation: TurnReservation) -> ClaimedTurn {
+        let allowances = self.allowances.borrow();
+        let held = allowances.held.get(&claim.program);
+        let holder = held.and_then(|held| held.lines.holder(claim.line.as_ref()).cloned());
+        ClaimedTurn { chain: TurnChain::default(), holder, reservation }
+    }
+
     /// Takes a turn's tokens out of what the ledger holds already; false if that takes a write.
     fn draw(&self, claim: &TurnClaim) -> bool {
         if self.pending.borrow().contains_key(&claim.program) {
@@ -147,6 +154,7 @@
     ) -> ReserveReply {
         let mut allowances = self.allowances.borrow_mut();
         let held = allowances.get_or_make(&claim.program, !is_ahead);
+        let is_ahead = is_ahead && !held.stands_in;
         let demand = held.allowance.demand(&claim.turn, claim.most);
         let ahead = if is_ahead { claim.most.saturating_mul(TURNS_AHEAD) } else { 0 };
         let reply = ledger.extend(held.allowance.name(), demand, ahead, claim.budget);
@@ -167,10 +175,14 @@
     }
 
     /// Notes what a turn has used of the allowance that is held here.
-    pub(super) fn end_turn(self: &Rc<Self>, program: &ProgramName, turn: &TurnId, used: Tokens) {
+    pub(super) fn end_turn(self: &Rc<Self>, end: &TurnEnd) {
+        let TurnEnd { program, turn, used, ran_at, .. } = end;
         let mut allowances = self.allowances.borrow_mut();
         let Some(held) = allowances.held.get_mut(program) else { return };
-        held.allowance.end(turn, used);
+        held.allowance.end(turn, *used);
+        if let Some(line) = ran_at {
+            held.lines.note(line.clone());
+        }
         // The coordinator needs what is left here.
         if held.stands_in && held.allowance.is_idle() {
             let allowance = held.allowance.clone();
@@ -194,6 +206,26 @@
         }
     }
 
+    /// Leaves to others the programs in use that they coordinate now: what is held of them is given
+    /// back, at once or when their turns here have ended.
+    pub(crate) fn hand_over(
+        self: &Rc<Self>,
+        not_coordinated: impl Fn(Vec<&ProgramName>) -> Vec<ProgramName>,
+    ) {
+        let mut allowances = self.allowances.borrow_mut();
+        let in_use = allowances.held.iter().filter(|(_, held)| held.used_at.elapsed() < IN_USE);
+        let lost = not_coordinated(in_use.map(|(program, _)| program).collect());
+        for program in lost {
+            let Some(held) = allowances.held.get_mut(&program) else { continue };
+            held.stands_in = true;
+            if held.allowance.is_idle() {
+                let allowance = held.allowance.clone();
+                allowances.forget(&program);
+                actix_rt::spawn(self.clone().give_back(program, allowance));
+            }
+        }
+    }
+
     /// Gives back what programs that go on elsewhere need, before this instance ends.
     pub(crate) async fn give_back_allowances(self: &Rc<Self>) {
         let idle = self.allowances.borrow_mut().take_idle(|held| held.used_at.elapsed() < IN_USE);
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -8,7 +8,7 @@
 
 use super::{ChainError, ReserveError, TurnChain, TurnKeeper, TurnReservation};
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramName, TurnId, TurnScope};
+use crate::core::turns::{LineHolder, LineName, ProgramName, TurnId, TurnScope};
 use crate::node::platform::StoreError;
 
 /// Times a turn is claimed before what it continues from counts as gone.
@@ -28,6 +28,9 @@
     pub(crate) retention: Duration,
     #[serde(default)]
     pub(crate) scope: TurnScope,
+    /// The line of turns that it belongs to.
+    #[serde(default)]
+    pub(crate) line: Option<LineName>,
     /// Whether the program is turned away unless it has had turns before.
     #[serde(default)]
     pub(crate) only_known: bool,
@@ -50,6 +53,8 @@
 /// A turn that may run.
 pub(crate) struct ClaimedTurn {
     pub(crate) chain: TurnChain,
+    /// The engine that ran the turn before, where the history is not kept.
+    pub(crate) holder: Option<LineHolder>,
     pub(crate) reservation: TurnReservation,
 }
 
@@ -101,7 +106,7 @@
                 ChainError::Store(error) => held.failure(error),
             })?;
             match self.reserve_with_origins(claim, &chain, limit, source, &mut held).await {
-                Ok(()) => return Ok(ClaimedTurn { chain, reservation: held }),
+                Ok(()) => return Ok(ClaimedTurn { chain, holder: None, reservation: held }),
                 Err(ReserveError::Expired) => {}
                 Err(ReserveError::Exhausted { committed }) => {
                     return Err(ClaimError::Exhausted { committed });
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -12,9 +12,8 @@
 use tokio::time::Instant;
 
 use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
-use super::messages::{ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
+use super::messages::{ClaimReply, ClaimRequest, KeepRequest, TurnEnd};
 use super::{ChainError, SETTLE_PATIENCE, TurnChain, TurnKeeper};
-use crate::core::ids::Tokens;
 use crate::core::turns::{ProgramName, TurnId, TurnRecord, TurnScope};
 use crate::gateway::http::ExchangeError;
 use crate::gateway::usual::{FailedPeers, UsualTime};
@@ -128,8 +127,8 @@
         body: &Bytes,
     ) -> Option<Result<ClaimedTurn, ClaimError>> {
         let (reply, records) = unframe::<ClaimReply>(body).ok()?;
-        let chain = match reply {
-            ClaimReply::Granted { chain } => chain,
+        let (chain, holder) = match reply {
+            ClaimReply::Granted { chain, holder } => (chain, holder),
             ClaimReply::NoSuchTurn => return Some(Err(ClaimError::NoSuchTurn)),
             ClaimReply::NotAdmitted => return Some(Err(ClaimError::NotAdmitted)),
             ClaimReply::Exhausted { committed } => {
@@ -157,7 +156,7 @@
             None => Ok(TurnChain::default()),
         };
         Some(match chain {
-            Ok(chain) => Ok(ClaimedTurn { chain, reservation }),
+            Ok(chain) => Ok(ClaimedTurn { chain, holder, reservation }),
             Err(ChainError::NoSuchTurn) => Err(ClaimError::NoSuchTurn),
             Err(ChainError::Store(error)) => Err(ClaimError::Doubtful(error)),
         })
@@ -215,17 +214,9 @@
         matches!(answer, Ok((StatusCode::OK, _)))
     }
 
-    /// Has a coordinator settle a turn that broke off; false if that is to be done here.
-    pub(super) async fn settle_by(
-        &self,
-        peer: &str,
-        program: &ProgramName,
-        turn: &TurnId,
-        used: Tokens,
-        scope: TurnScope,
-    ) -> bool {
-        let request = SettleRequest { program: program.clone(), turn: turn.clone(), used, scope };
-        let answer = self.ask(peer, SETTLE_PATH, frame(&request, &[]), SETTLE_PATIENCE).await;
+    /// Has a coordinator settle a turn that leaves no record; false if that is to be done here.
+    pub(super) async fn settle_by(&self, peer: &str, end: &TurnEnd) -> bool {
+        let answer = self.ask(peer, SETTLE_PATH, frame(end, &[]), SETTLE_PATIENCE).await;
         matches!(answer, Ok((StatusCode::OK, _)))
     }
 }
--- a/src/gateway/turns/messages.rs
+++ b/src/gateway/turns/messages.rs
@@ -4,7 +4,7 @@
 
 use super::claim::TurnClaim;
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramName, TurnId, TurnScope};
+use crate::core::turns::{LineHolder, ProgramName, TurnId, TurnScope};
 
 /// A claim on its way to a coordinator.
 #[derive(Debug, Serialize, Deserialize)]
@@ -27,10 +27,16 @@
 #[derive(Debug, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub(super) enum ClaimReply {
-    Granted { chain: Vec<ChainTurn> },
+    Granted {
+        chain: Vec<ChainTurn>,
+        #[serde(default)]
+        holder: Option<LineHolder>,
+    },
     NoSuchTurn,
     NotAdmitted,
-    Exhausted { committed: Tokens },
+    Exhausted {
+        committed: Tokens,
+    },
 }
 
 /// A finished turn on its way to a coordinator; its record follows.
@@ -42,11 +48,14 @@
 }
 
 /// What a turn has used that leaves no record.
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) struct SettleRequest {
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(super) struct TurnEnd {
     pub(super) program: ProgramName,
     pub(super) turn: TurnId,
     pub(super) used: Tokens,
     #[serde(default)]
     pub(super) scope: TurnScope,
+    /// Where it ran whole.
+    #[serde(default)]
+    pub(super) ran_at: Option<LineHolder>,
 }
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -18,6 +18,7 @@
 
 use self::allowances::ProgramAllowances;
 use self::coordinate::CoordinatorHealth;
+use self::messages::TurnEnd;
 use self::reserve::PendingReservation;
 use self::rows::ledger_write;
 use super::committer::StoreCommitter;
@@ -25,7 +26,9 @@
 use super::rows::{CommitReply, RowTransaction, RowVersion};
 use super::store::StoreLink;
 use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramLedger, ProgramName, TurnCache, TurnId, TurnRecord, TurnScope};
+use crate::core::turns::{
+    LineHolder, ProgramLedger, ProgramName, TurnCache, TurnId, TurnRecord, TurnScope,
+};
 use crate::node::platform::StoreError;
 
 pub(crate) use self::chain::{ChainError, TurnChain};
@@ -90,6 +93,8 @@
     used: Tokens,
     settled: bool,
     scope: TurnScope,
+    /// Where it ran whole.
+    ran_at: Option<LineHolder>,
     /// The peer that claimed it for this instance.
     coordinator: Option<Box<str>>,
 }
@@ -105,6 +110,11 @@
         self.used
     }
 
+    /// Notes where the turn ran whole, for those that follow it.
+    pub(crate) fn note_holder(&mut self, holder: LineHolder) {
+        self.ran_at = Some(holder);
+    }
+
     /// Leaves the reservation to the peer it was made for.
     fn hand_over(mut self) {
         self.settled = true;
@@ -140,20 +150,26 @@
             return;
         }
         let keeper = self.keeper.clone();
-        let (program, turn, used) = (self.program.clone(), self.turn.clone(), self.used);
-        let (scope, coordinator) = (self.scope, self.coordinator.take());
+        let coordinator = self.coordinator.take();
+        let end = TurnEnd {
+            program: self.program.clone(),
+            turn: self.turn.clone(),
+            used: self.used,
+            scope: self.scope,
+            ran_at: self.ran_at.take(),
+        };
         actix_rt::spawn(async move {
             if let Some(peer) = coordinator
-                && keeper.settle_by(&peer, &program, &turn, used, scope).await
+                && keeper.settle_by(&peer, &end).await
             {
                 return;
             }
-            if scope == TurnScope::Tokens {
-                keeper.end_turn(&program, &turn, used);
+            if end.scope == TurnScope::Tokens {
+                keeper.end_turn(&end);
                 return;
             }
             let limit = Instant::now() + BACKGROUND_LIMIT;
-            keeper.settle(&program, &turn, used, limit).await;
+            keeper.settle(&end.program, &end.turn, end.used, limit).await;
         });
     }
 }
@@ -250,6 +266,7 @@
             used: 0,
             settled: false,
             scope: TurnScope::History,
+            ran_at: None,
             coordinator: None,
         }
     }
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -8,9 +8,9 @@
 use tokio::time::Instant;
 
 use super::claim::{ClaimError, ClaimSource, TurnClaim};
-use super::messages::{ChainTurn, ClaimReply, ClaimRequest, KeepRequest, SettleRequest};
+use super::messages::{ChainTurn, ClaimReply, ClaimRequest, KeepRequest, TurnEnd};
 use super::{BACKGROUND_LIMIT, CLAIM_PATH, SETTLE_PATH, TurnKeeper};
-use crate::core::turns::{TurnRecord, TurnScope};
+use crate::core::turns::{LineHolder, TurnRecord, TurnScope};
 use crate::util::framed::{frame, unframe};
 
 impl TurnKeeper {
@@ -25,7 +25,7 @@
             Ok(claimed) => {
                 claimed.reservation.hand_over();
                 let known = if request.knows_chain { &[][..] } else { &claimed.chain.turns[..] };
-                return Some(self.granted(claim, known));
+                return Some(self.granted(claim, known, claimed.holder));
             }
             Err(ClaimError::NoSuchTurn) => ClaimReply::NoSuchTurn,
             Err(ClaimError::NotAdmitted) => ClaimReply::NotAdmitted,
@@ -36,7 +36,12 @@
     }
 
     /// The reply with a chain, whose last turn is the claim's previous one.
-    fn granted(&self, claim: &TurnClaim, records: &[Rc<TurnRecord>]) -> Bytes {
+    fn granted(
+        &self,
+        claim: &TurnClaim,
+        records: &[Rc<TurnRecord>],
+        holder: Option<LineHolder>,
+    ) -> Bytes {
         let cache = self.cache.borrow();
         let encoded: Vec<Bytes> = records.iter().map(|record| record.encode()).collect();
         let mut chain = Vec::new();
@@ -49,7 +54,7 @@
         }
         chain.reverse();
         let parts: Vec<&[u8]> = encoded.iter().map(|record| &record[..]).collect();
-        frame(&ClaimReply::Granted { chain }, &parts)
+        frame(&ClaimReply::Granted { chain, holder }, &parts)
     }
 
     /// Does a peer's work: the reply's status and body. It goes on if the peer leaves meanwhile.
@@ -75,9 +80,9 @@
             };
         }
         if path == SETTLE_PATH {
-            let Ok((request, _)) = unframe::<SettleRequest>(body) else { return malformed };
+            let Ok((request, _)) = unframe::<TurnEnd>(body) else { return malformed };
             if request.scope == TurnScope::Tokens {
-                self.end_turn(&request.program, &request.turn, request.used);
+                self.end_turn(&request);
                 return (StatusCode::OK, Bytes::new());
             }
             let limit = Instant::now() + BACKGROUND_LIMIT;
--- a/tests/gateway_allowances.rs
+++ b/tests/gateway_allowances.rs
@@ -2,6 +2,8 @@
 
 mod platform_standin;
 
+use std::time::Duration;
+
 use platform_standin::engine::EngineAct;
 use platform_standin::{Deployment, TestGateway, alone, budgeted_turn, route, wait_until};
 use serde_json::{Value, json};
@@ -103,3 +105,53 @@
     }
     assert_eq!(spend(deployment.gateway(), "t4", 14).await, 402);
 }
+
+/// Guards against the turns of a program that read their whole prompt at another engine each time, as
+/// another instance gets each of them.
+#[actix_rt::test]
+async fn turns_stay_at_their_engine_over_instances() {
+    let mut deployment = deployment(3, &json!({})).await;
+    deployment.all_named().await;
+    for number in 0..6 {
+        let engine = platform_standin::engine::StandinEngine::default();
+        let address = engine.start("127.0.0.1").await;
+        deployment.list_engine(&format!("more-{number}"), &address, "ready");
+        deployment.engines.push(engine);
+    }
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for number in 0..12 {
+        let turn = budgeted_turn(&format!("t{number}"), "p", None, "x", 1_000).replace(
+            "Merlinsaddle-Token-Usage",
+            "Merlinsaddle-Session-Id: s\r\nMerlinsaddle-Prompt-Prefix: a:2560,b:1000\r\n\
+             Merlinsaddle-Token-Usage",
+        );
+        assert_eq!(deployment.gateways[number % 3].call(&turn).await.status(), 200);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let used = deployment.engines.iter().filter(|engine| !engine.runs().is_empty());
+    assert_eq!(used.count(), 1);
+}
+
+/// Guards against tokens that stay with an instance which no longer coordinates their program.
+#[actix_rt::test]
+async fn tokens_ahead_go_to_the_next_coordinator_at_once() {
+    let mut deployment = deployment(2, &json!({})).await;
+    deployment.all_named().await;
+    for number in 0..8 {
+        let turn = budgeted_turn(&format!("t{number}"), &format!("p{number}"), None, "x", 18);
+        assert_eq!(deployment.gateways[0].call(&turn).await.status(), 200);
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.begin_stop();
+    }
+    wait_until("all is given back", async || {
+        let ledgers = deployment.store.values("programs", "ledger");
+        ledgers
+            .iter()
+            .all(|ledger| String::from_utf8_lossy(ledger).starts_with("{\"s\":6,\"o\":{}"))
+    })
+    .await;
+    for gateway in &mut deployment.gateways {
+        gateway.join().await;
+    }
+}
--- a/tests/platform_adapter.rs
+++ b/tests/platform_adapter.rs
@@ -36,6 +36,7 @@
         ("Merlinsaddle-Request-Id", "r1"),
         ("Merlinsaddle-Deadline-Ms", "6000"),
         ("Merlinsaddle-Program-Id", "p1"),
+        ("Merlinsaddle-Session-Id", "s1"),
         ("Merlinsaddle-Finish-Ms", "5200.5"),
         ("Merlinsaddle-Token-Budget", "1088"),
         ("Merlinsaddle-Token-Usage", "1840, 136"),
@@ -56,6 +57,9 @@
             program: Some(
                 "p1",
             ),
+            line: Some(
+                "s1",
+            ),
             finish: Some(
                 5.2005s,
             ),
