--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt/mod.rs
@@ -1,6 +1,9 @@
 //! Sends one request to upstreams until one of them gives the answer to pass on.
 
-use std::cell::{Cell, RefCell};
+mod exchange;
+mod guard;
+mod tried;
+
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,15 +11,18 @@
 use bytes::Bytes;
 use tokio::time::{Instant, sleep};
 
+use exchange::{error_word, exchange};
+pub(crate) use guard::AttemptGuard;
+pub(crate) use tried::AttemptLog;
+
+use super::Gateway;
 use super::call::CallContext;
 use super::dialect::{AnswerHead, AttemptHead};
-use super::events::EventId;
 use super::http::{AnswerError, ConnectPlan, UpstreamConnection};
 use super::refusal::Refusal;
-use super::{Gateway, GatewayMechanism};
 use crate::core::ids::UpstreamId;
-use crate::core::routing::{RouteKind, ServiceName};
-use crate::core::upstreams::{AttemptResult, BirthMillis, ChoiceRequest, UpstreamChoice};
+use crate::core::routing::RouteKind;
+use crate::core::upstreams::{AttemptResult, ChoiceRequest, UpstreamChoice};
 
 /// Upstreams that may refuse one request, unrun, before it is refused itself.
 const MAX_UNRUN: usize = 8;
@@ -31,8 +37,6 @@
 /// When a caller may come back where a service has no upstream at all: one of them starts, and
 /// its news comes.
 const NOBODY_RETRY: Duration = Duration::from_millis(700);
-/// Answers to other requests that are skipped on one connection.
-const MAX_FOREIGN: usize = 3;
 /// Largest answer that is read as a whole; those of idempotent requests are a few kilobytes.
 const MAX_WHOLE_BODY: usize = 4 * 1024 * 1024;
 /// Times that a stream goes on at the engine that broke it off.
@@ -40,76 +44,6 @@
 /// Largest body of a skipped answer.
 const MAX_FOREIGN_BODY: usize = 1024 * 1024;
 
-/// An attempt under way; it ends as abandoned unless something else is recorded.
-pub(crate) struct AttemptGuard {
-    gateway: Rc<Gateway>,
-    upstream: UpstreamId,
-    begun: Instant,
-    service: ServiceName,
-    objective: Duration,
-    /// Time the upstream was expected to read the prompt, in milliseconds; 0 without one.
-    prefill_ms: f64,
-    heard: Cell<bool>,
-    result: Cell<AttemptResult>,
-}
-
-impl AttemptGuard {
-    fn new(gateway: &Rc<Gateway>, call: &CallContext, choice: &UpstreamChoice) -> Self {
-        let mut upstreams = gateway.news.upstreams.borrow_mut();
-        let begun = Instant::now();
-        upstreams.started(&choice.id, choice.prefill_ms, begun);
-        if !gateway.settings.uses(GatewayMechanism::SilenceAvoidance) {
-            upstreams.heard(&choice.id, begun);
-        }
-        Self {
-            gateway: gateway.clone(),
-            upstream: choice.id.clone(),
-            begun,
-            service: call.service.clone(),
-            objective: call.route.objective,
-            prefill_ms: choice.prefill_ms,
-            heard: Cell::new(false),
-            result: Cell::new(AttemptResult::Abandoned),
-        }
-    }
-
-    /// Notes that the first bytes of the answer's body came.
-    pub(crate) fn heard(&self) {
-        self.gateway.news.upstreams.borrow_mut().heard(&self.upstream, self.begun);
-        if let Some(waited) = self.take_wait() {
-            let mut gate = self.gateway.gate.borrow_mut();
-            gate.note_wait(&self.service, waited, self.objective, Instant::now());
-        }
-    }
-
-    /// How long a prompt has waited for its first word, in milliseconds; none without a prompt, or if
-    /// the word has come.
-    fn take_wait(&self) -> Option<f64> {
-        if self.heard.replace(true) || self.prefill_ms <= 0.0 {
-            return None;
-        }
-        let waited = self.begun.elapsed().as_secs_f64() * 1e3 - self.prefill_ms;
-        Some(waited.max(0.0))
-    }
-
-    pub(crate) fn record(&self, result: AttemptResult) {
-        self.result.set(result);
-    }
-}
-
-impl Drop for AttemptGuard {
-    fn drop(&mut self) {
-        if self.result.get() == AttemptResult::Abandoned
-            && let Some(waited) = self.take_wait()
-        {
-            let mut gate = self.gateway.gate.borrow_mut();
-            gate.note_left(&self.service, waited, Instant::now());
-        }
-        let mut upstreams = self.gateway.news.upstreams.borrow_mut();
-        upstreams.ended(&self.upstream, self.begun, self.result.get(), Instant::now());
-    }
-}
-
 /// An upstream's answer whose body is still to be read.
 pub(crate) struct UpstreamAnswer {
     pub(crate) choice: UpstreamChoice,
@@ -130,66 +64,6 @@
     Unknown(&'static str),
 }
 
-/// What has been tried for a request.
-#[derive(Default)]
-pub(crate) struct AttemptLog {
-    /// Upstreams to which bytes of the request went and that did not deny running it.
-    pub(crate) runs: Cell<u32>,
-    pub(crate) tries: Cell<u32>,
-    /// The peer that was asked to claim the turn.
-    pub(crate) coordinator: RefCell<Option<Box<str>>>,
-    /// Time from the request's arrival until its turn was claimed.
-    pub(crate) claimed_after: Cell<Option<Duration>>,
-    /// Time from the request's arrival until it was first sent on, which is what the system adds to
-    /// the time to the first event.
-    pub(crate) sent_after: Cell<Option<Duration>>,
-    /// Whether an attempt is under way whose upstream may be running the request.
-    pub(crate) exposed: Cell<bool>,
-    /// Upstreams that have run the request, by their lives.
-    engines: RefCell<Vec<UpstreamLife>>,
-    /// Upstreams that took no connection.
-    unreached: Cell<u32>,
-    /// Times it was sent again to the upstream that broke it off.
-    reruns: Cell<u32>,
-    /// The last event that was passed on, after which a stream goes on.
-    pub(crate) last_event: RefCell<Option<EventId>>,
-}
-
-/// One life of an upstream.
-#[derive(Debug, Clone, PartialEq, Eq)]
-struct UpstreamLife {
-    id: UpstreamId,
-    born: Option<BirthMillis>,
-}
-
-impl UpstreamLife {
-    fn of(choice: &UpstreamChoice) -> Self {
-        Self { id: choice.id.clone(), born: choice.born }
-    }
-}
-
-impl AttemptLog {
-    /// Whether an upstream may have run the request.
-    pub(crate) fn may_have_run(&self) -> bool {
-        self.exposed.get() || self.runs.get() > 0
-    }
-
-    fn note_run(&self, choice: &UpstreamChoice) {
-        self.runs.set(self.runs.get() + 1);
-        let life = UpstreamLife::of(choice);
-        let mut engines = self.engines.borrow_mut();
-        if !engines.contains(&life) {
-            engines.push(life);
-        }
-    }
-
-    /// Notes that an upstream cannot be reached: what it ran has ended with it.
-    fn note_gone(&self, choice: &UpstreamChoice) {
-        let life = UpstreamLife::of(choice);
-        self.engines.borrow_mut().retain(|known| *known != life);
-    }
-}
-
 /// Where a request may go after an upstream that may have run it.
 enum RerunPlace {
     /// To any other upstream.
@@ -419,41 +293,6 @@
     }
 }
 
-/// Sends the request and reads the head of the answer to it, skipping late answers to others.
-async fn exchange(
-    gateway: &Gateway,
-    connection: &mut UpstreamConnection,
-    call: &CallContext,
-    head: RequestHead,
-) -> Result<(ResponseHead, AnswerHead), AnswerError> {
-    connection.request(head, call.body.clone())?;
-    for _ in 0..MAX_FOREIGN {
-        let head = connection.head().await?;
-        let info = gateway.dialect.answer_head(&head.headers);
-        if info.request.as_ref() == Some(&call.id) {
-            return Ok((head, info));
-        }
-        // A refusal may come before the upstream has read whose request it is.
-        if info.request.is_none() && info.not_run {
-            return Ok((head, info));
-        }
-        if info.request.is_none() && head.status == StatusCode::MISDIRECTED_REQUEST {
-            return Ok((head, info));
-        }
-        connection.rest(MAX_FOREIGN_BODY).await?;
-    }
-    Err(AnswerError::Foreign)
-}
-
-fn error_word(error: &AnswerError) -> &'static str {
-    match error {
-        AnswerError::Ended => "connection_ended",
-        AnswerError::Broken(_) => "connection_broken",
-        AnswerError::Malformed(_) | AnswerError::BadBody(_) => "not_an_answer",
-        AnswerError::Foreign => "foreign_answers",
-    }
-}
-
 /// The end of a request that no upstream is left for: only what has surely not run is said not to.
 fn no_answer(log: &AttemptLog, reason: &'static str, retry: Duration) -> Refusal {
     if log.may_have_run() {
--- /dev/null
+++ b/src/gateway/attempt/tried.rs
@@ -0,0 +1,68 @@
+//! What has been tried for one request.
+
+use std::cell::{Cell, RefCell};
+use std::time::Duration;
+
+use crate::core::ids::UpstreamId;
+use crate::core::upstreams::{BirthMillis, UpstreamChoice};
+use crate::gateway::events::EventId;
+
+/// What has been tried for a request.
+#[derive(Default)]
+pub(crate) struct AttemptLog {
+    /// Upstreams to which bytes of the request went and that did not deny running it.
+    pub(crate) runs: Cell<u32>,
+    pub(crate) tries: Cell<u32>,
+    /// The peer that was asked to claim the turn.
+    pub(crate) coordinator: RefCell<Option<Box<str>>>,
+    /// Time from the request's arrival until its turn was claimed.
+    pub(crate) claimed_after: Cell<Option<Duration>>,
+    /// Time from the request's arrival until it was first sent on, which is what the system adds to
+    /// the time to the first event.
+    pub(crate) sent_after: Cell<Option<Duration>>,
+    /// Whether an attempt is under way whose upstream may be running the request.
+    pub(crate) exposed: Cell<bool>,
+    /// Upstreams that have run the request, by their lives.
+    pub(super) engines: RefCell<Vec<UpstreamLife>>,
+    /// Upstreams that took no connection.
+    pub(super) unreached: Cell<u32>,
+    /// Times it was sent again to the upstream that broke it off.
+    pub(super) reruns: Cell<u32>,
+    /// The last event that was passed on, after which a stream goes on.
+    pub(crate) last_event: RefCell<Option<EventId>>,
+}
+
+/// One life of an upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct UpstreamLife {
+    pub(super) id: UpstreamId,
+    pub(super) born: Option<BirthMillis>,
+}
+
+impl UpstreamLife {
+    fn of(choice: &UpstreamChoice) -> Self {
+        Self { id: choice.id.clone(), born: choice.born }
+    }
+}
+
+impl AttemptLog {
+    /// Whether an upstream may have run the request.
+    pub(crate) fn may_have_run(&self) -> bool {
+        self.exposed.get() || self.runs.get() > 0
+    }
+
+    pub(super) fn note_run(&self, choice: &UpstreamChoice) {
+        self.runs.set(self.runs.get() + 1);
+        let life = UpstreamLife::of(choice);
+        let mut engines = self.engines.borrow_mut();
+        if !engines.contains(&life) {
+            engines.push(life);
+        }
+    }
+
+    /// Notes that an upstream cannot be reached: what it ran has ended with it.
+    pub(super) fn note_gone(&self, choice: &UpstreamChoice) {
+        let life = UpstreamLife::of(choice);
+        self.engines.borrow_mut().retain(|known| *known != life);
+    }
+}
