--- a/src/gateway/http/pool.rs
+++ b/src/gateway/http/pool.rs
@@ -25,6 +25,11 @@
 /// twice. A peer that is gone without a word is noticed seconds later, and what was sent to it meanwhile
 /// can neither be answered nor sent again.
 const PROVEN_FOR: Duration = Duration::from_secs(1);
+/// Usual time between two uses of a connection above which that is asked for. Where connections are used
+/// more often, an upstream that is gone is found out by a few requests and avoided by the others.
+const RARE_USE: Duration = Duration::from_millis(1_500);
+/// Share of the newest idle time in the usual one.
+const IDLE_SHARE: f64 = 0.02;
 /// Idle time allowed where the peer names none; common servers close after five seconds.
 const DEFAULT_KEEP: Duration = Duration::from_secs(4);
 /// Subtracted from the time the peer names, so that no request meets its close.
@@ -77,12 +82,15 @@
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<Box<str>, Vec<IdleConnection>>>,
     usual_connect: Cell<UsualTime>,
+    /// How long connections have been idle when their upstream gets a request.
+    usual_idle: Cell<UsualTime>,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
         let usual_connect = Cell::new(UsualTime::new(CONNECT_SHARE));
-        Self { idle: RefCell::default(), usual_connect }
+        let usual_idle = Cell::new(UsualTime::new(IDLE_SHARE));
+        Self { idle: RefCell::default(), usual_connect, usual_idle }
     }
 }
 
@@ -142,7 +150,9 @@
         address: &str,
         plan: ConnectPlan,
     ) -> Result<UpstreamConnection, ConnectError> {
-        let since = Instant::now().checked_sub(PROVEN_FOR).filter(|_| plan.proven);
+        self.note_idle(address);
+        let rare = self.usual_idle.get().mean() > RARE_USE;
+        let since = Instant::now().checked_sub(PROVEN_FOR).filter(|_| plan.proven && rare);
         if let Some(connection) = self.take_used_since(address, since) {
             return Ok(connection);
         }
@@ -160,6 +170,14 @@
         }
     }
 
+    fn note_idle(&self, address: &str) {
+        let idle = self.idle.borrow();
+        let Some(newest) = idle.get(address).and_then(|waiting| waiting.last()) else { return };
+        let mut usual = self.usual_idle.get();
+        usual.answered(newest.used);
+        self.usual_idle.set(usual);
+    }
+
     /// Keeps a connection for later if it is good for it.
     pub(crate) fn put(
         &self,
