Read the routes once for all: a follower waits for its reader, a question tells only what changed

Cause, by reading: gossip tells of a new version within 0.2 s, and every instance then read the whole row of routes from the store, 77 kB with 250 idle routes, 984 times a version; each question for an unknown route that came when the news were older than 1.5 s read it too. Ruled out: longer freshness, which would let an instance deny what was added. Change: an instance that follows a reader leaves it 0.6 s for a version that peers have; to confirm the routes, the changes since the known version are asked for, which are none as a rule. A row that is older than the known one no longer takes its place, now that two questions may be under way. Shown: routes_are_read_once_for_all, an_older_row_changes_nothing; both failing before.

--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -54,6 +54,8 @@
     head: Cell<ConfigVersion>,
     /// Newest version of the routes that a peer has.
     heard_head: Cell<ConfigVersion>,
+    /// When it was first heard of.
+    heard_at: Cell<Instant>,
     span: Cell<CoordinatorSpan>,
     /// Who takes datagrams about limits.
     quotas: RefCell<Option<Rc<dyn QuotaListener>>>,
@@ -87,6 +89,7 @@
             seeds: RefCell::new(seed_addresses(settings)),
             head: Cell::new(0),
             heard_head: Cell::new(0),
+            heard_at: Cell::new(Instant::now()),
             span: Cell::default(),
             quotas: RefCell::default(),
         }
@@ -106,9 +109,9 @@
         self.head.set(version);
     }
 
-    /// Newest version of the routes that any peer has told of.
-    pub(crate) fn heard_head(&self) -> ConfigVersion {
-        self.heard_head.get()
+    /// Newest version of the routes that any peer has told of, and when one first did.
+    pub(crate) fn heard_head(&self) -> (ConfigVersion, Instant) {
+        (self.heard_head.get(), self.heard_at.get())
     }
 
     /// Tells the others that callers may be sent here.
@@ -252,7 +255,10 @@
 
     fn take(&self, message: &GossipMessage) {
         self.clock.borrow_mut().observe(wall(), message.stamp);
-        self.heard_head.set(self.heard_head.get().max(message.config_head));
+        if message.config_head > self.heard_head.get() {
+            self.heard_head.set(message.config_head);
+            self.heard_at.set(Instant::now());
+        }
         let actions = {
             let mut table = self.table.borrow_mut();
             let me = table.me().clone();
--- a/src/gateway/news/follow.rs
+++ b/src/gateway/news/follow.rs
@@ -32,6 +32,19 @@
         Ok(())
     }
 
+    /// Asks whether the routes have changed; they are long, so they are told only if they have.
+    pub(super) async fn check_routes(&self) -> Result<(), StoreError> {
+        let mark = ClockMark::now();
+        let after = self.route_log.borrow().head();
+        match self.store.changes(self.dialect.routes_table(), after, Duration::ZERO).await? {
+            ChangesReply::Changes { rows, version } => {
+                self.change_routes(rows, version, mark.steady(), mark);
+                Ok(())
+            }
+            ChangesReply::HistoryGone => self.read_routes().await,
+        }
+    }
+
     pub(crate) async fn follow_routes(self: Rc<Self>) {
         self.first(|| self.read_routes()).await;
         let table = self.dialect.routes_table();
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -126,7 +126,7 @@
         if self.has_fresh_routes() {
             return true;
         }
-        self.read_routes().await.is_ok()
+        self.check_routes().await.is_ok()
     }
 
     fn has_fresh_routes(&self) -> bool {
@@ -141,7 +141,7 @@
         let _turn = self.refresh.lock().await;
         let version = self.routes().map_or(TableVersion::MAX, |table| table.version);
         if version < heard
-            && let Err(error) = self.read_routes().await
+            && let Err(error) = self.check_routes().await
         {
             log::info!("event=routes_behind version={version} heard={heard} error=\"{error}\"");
         }
--- a/src/gateway/news/table_log.rs
+++ b/src/gateway/news/table_log.rs
@@ -64,9 +64,7 @@
             self.put(StoredRow { key, value: None, version: head });
         }
         for row in rows {
-            if self.newest.get(&row.key.key).is_none_or(|known| *known < row.version) {
-                self.put(row);
-            }
+            self.put(row);
         }
         if is_first {
             self.floor = head;
@@ -77,6 +75,10 @@
     /// Takes a row that is newer than what is known of it.
     pub(super) fn put(&mut self, row: StoredRow) {
         let name = row.key.key.clone();
+        // Two questions may be answered in the other order.
+        if self.newest.get(&name).is_some_and(|known| *known >= row.version) {
+            return;
+        }
         if let Some(former) = self.newest.insert(name.clone(), row.version) {
             self.forget(&(former, name.clone()));
         }
--- a/src/gateway/news/table_log_tests.rs
+++ b/src/gateway/news/table_log_tests.rs
@@ -124,6 +124,17 @@
     assert_eq!((page.whole, told), (false, vec![("7", true), ("1", false)]));
 }
 
+/// Guards against a late answer that takes back a newer row, which followers would never hear of.
+#[test]
+fn an_older_row_changes_nothing() {
+    let mut log = NewsLog::default();
+    log.replace(vec![long_row(1, 5)], 5, Instant::now());
+    log.put(long_row(1, 7));
+    log.put(long_row(1, 6));
+    log.advance(7, Instant::now());
+    assert_eq!(log.since(5, false).rows, [long_row(1, 7)]);
+}
+
 fn long_row(name: u64, version: u64) -> StoredRow {
     let key = RowKey { table: "t".into(), part: "".into(), key: name.to_string().into() };
     StoredRow { key, value: Some(Bytes::from(version.to_string())), version }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -37,6 +37,9 @@
 const CHORES_PACE: Duration = Duration::from_millis(200);
 /// How often an instance that starts looks whether it is ready; callers wait for it.
 const START_PACE: Duration = Duration::from_millis(10);
+/// How long a reader of news has for a version of the routes that peers know already. Routes are long, and
+/// whoever has a reader gets them from it at no price.
+const READER_PATIENCE: Duration = Duration::from_millis(600);
 
 /// The sockets of one gateway, open.
 pub struct GatewaySockets {
@@ -212,8 +215,9 @@
     async fn follow_heads(&self) {
         let version = self.news.routes().map_or(0, |table| table.version);
         self.members.set_head(version);
-        let heard = self.members.heard_head();
-        if heard > version && version > 0 {
+        let (heard, since) = self.members.heard_head();
+        let patience = if self.news.is_led() { READER_PATIENCE } else { Duration::ZERO };
+        if heard > version && version > 0 && since.elapsed() >= patience {
             self.news.catch_up(heard).await;
         }
     }
--- a/tests/news_readers.rs
+++ b/tests/news_readers.rs
@@ -177,3 +177,22 @@
         assert_eq!(deployment.gateways[1].call(&call("book", &id)).await.status(), 200);
     }
 }
+
+/// Guards against instances that all read the routes from the store as soon as one of them has a new
+/// version, and whenever a caller asks for a route that does not exist.
+#[actix_rt::test]
+async fn routes_are_read_once_for_all() {
+    let deployment = Deployment::start(4, 1).await;
+    deployment.all_named().await;
+    tokio::time::sleep(Duration::from_millis(1_000)).await;
+    let read = || deployment.store.calls_with("/rows-get?table=op");
+    let before = read();
+    for version in 2..5 {
+        deployment.set_routes(version, &with_route(&format!("added-{version}")));
+        for gateway in &deployment.gateways {
+            assert!(comes_into_force(gateway, &format!("added-{version}")).await);
+            assert_eq!(gateway.call(&call("missing", "m")).await.status(), 404);
+        }
+    }
+    assert_eq!(read() - before, 0, "the whole list was read");
+}
