Take connections for rarely used until they are seen in use; name the estimate of latency; comments without figures

UsualTime is LatencyEstimate now; comments of the gateway say why, and no longer how a figure was found.

--- a/src/core/turns/coordinator.rs
+++ b/src/core/turns/coordinator.rs
@@ -6,19 +6,16 @@
 
 use crate::core::members::{favourite, leaders};
 
-/// Instances for each coordinator where they are busy. One for four has 53 turns a second where 16
-/// instances share 210: enough that most records travel with another turn's reservation. The busiest
-/// instance took 2.8% of a core (measured on 62).
+/// Instances for each coordinator where they are busy: enough turns meet at it that most records travel
+/// with another turn's reservation.
 const BUSY_SPAN: usize = 4;
-/// Instances for each coordinator where they are not. At 295 instances of 3.7 turns a second one for
-/// four had 15 turns a second, and few records met a reservation to travel with; one for twelve has 45.
-/// Gain: 12 of 100 store calls on a calm day there, 3 to 5 under load (the same seed).
+/// Instances for each coordinator where they are not.
 const QUIET_SPAN: usize = 12;
-/// Turns a second of an instance below which it counts as quiet, and above which it no longer does: a
-/// twelfth and a quarter of some 50. Between them bursts and chance change nothing.
+/// Turns a second of an instance below which it counts as quiet, and above which it no longer does. The
+/// hysteresis keeps bursts from moving programs between coordinators.
 const QUIET_BELOW: f64 = 4.5;
 const BUSY_ABOVE: f64 = 12.0;
-/// Time over which turns are counted, fading: at 4 a second chance moves the rate by 0.6.
+/// Time over which turns are counted, fading.
 const RATE_FADE: Duration = Duration::from_secs(5);
 
 /// How many instances share a coordinator, by the turns that this one gets. Callers choose instances
@@ -58,8 +55,6 @@
 /// It is a hint: all instances that agree on the members name the same one, and those that do not do
 /// no harm, since the store judges each write. When the members change, only programs of the changed
 /// coordinators move.
-///
-/// Gain: 1.21 to 1.41 store calls a turn instead of 1.62 to 2.54 (twelve days each).
 pub fn coordinator<'a>(
     program: &str,
     span: usize,
--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -7,7 +7,7 @@
 use super::{BirthMillis, PromptPart, UpstreamTable};
 use crate::core::ids::UpstreamId;
 
-/// Prompt tokens an engine reads in a millisecond; measured on the users' engines (32.4), rounded.
+/// Prompt tokens that an engine is taken to read in a millisecond.
 const PREFILL_TOKENS_PER_MS: f64 = 32.0;
 /// Weight of reading a prompt anew against waiting: it also delays all others at that engine.
 const MOVE_FACTOR: f64 = 2.0;
--- a/src/core/upstreams/health.rs
+++ b/src/core/upstreams/health.rs
@@ -19,8 +19,7 @@
 /// tried again, and one that is still slow is found out by a few requests.
 const PACE_FADE: Duration = Duration::from_secs(3);
 
-/// Silence of an attempt that says something about the upstream: first bytes come within 0.4 s in 99
-/// of 100 turns and 0.9 s in 99 of 100 other calls (measured on calm days).
+/// Silence of an attempt that says something about the upstream.
 const SILENCE_LIMIT: Duration = Duration::from_secs(1);
 
 /// How one attempt at an upstream ended.
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -25,14 +25,11 @@
 use crate::node::platform::StoreError;
 
 /// When a caller may come back while the store is away. What lasts longer than a blip lasts for
-/// seconds; callers wait up to a third of their time, which is 2 s for a turn, and try a few times:
-/// sooner, they would have used up their tries before the store is back.
+/// seconds: sooner, callers would have used up their tries before the store is back.
 const STORE_RETRY: Duration = Duration::from_secs(2);
 /// Part of the caller's time that a turn waits for a store that is away as a whole. Refused at once, a
-/// turn's tries are used up in 4.5 s of an outage and its program is lost; with the wait they last 9 s
-/// (both worked out for 4 s of time and two tries three times), and whoever waits at the return goes on
-/// at once. Longer, and a caller that hears nothing for 2 s leaves. Gain: worth 0.689 to 0.718 (mean of
-/// twelve days).
+/// turn's tries would be used up early in an outage and its program lost; a caller that hears nothing for
+/// too long leaves.
 const OUTAGE_PATIENCE: f64 = 0.375;
 /// Time left to the caller after a reservation is given up.
 const RESERVE_MARGIN: Duration = Duration::from_millis(200);
--- a/src/gateway/committer.rs
+++ b/src/gateway/committer.rs
@@ -21,7 +21,7 @@
 const MAX_BYTES: usize = 600_000;
 
 /// Transactions under way at once. More only add to the store's queue, and what waits for one of them
-/// to end travels together: at 7 ms each, four carry 570 a second (worked out).
+/// to end travels together.
 const MAX_FLIGHTS: u32 = 4;
 /// Shortest and longest pause before what was refused for the store's rate goes out again, together
 /// with what has come meanwhile; drawn evenly, so that instances do not return together.
--- a/src/gateway/http/pool.rs
+++ b/src/gateway/http/pool.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{AnswerError, UpstreamConnection, watch_peer};
-use crate::gateway::usual::UsualTime;
+use crate::gateway::latency::LatencyEstimate;
 
 /// Longest time for a connection: a lost opening packet is repeated only after a second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -28,6 +28,8 @@
 /// Usual time between two uses of a connection above which that is asked for. Where connections are used
 /// more often, an upstream that is gone is found out by a few requests and avoided by the others.
 const RARE_USE: Duration = Duration::from_millis(1_500);
+/// The usual time before any was seen: an instance with few requests would learn it too late.
+const EXPECTED_IDLE: Duration = Duration::from_secs(3);
 /// Share of the newest idle time in the usual one.
 const IDLE_SHARE: f64 = 0.02;
 /// Idle time allowed where the peer names none; common servers close after five seconds.
@@ -81,15 +83,15 @@
 /// All idle connections of an instance.
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<Box<str>, Vec<IdleConnection>>>,
-    usual_connect: Cell<UsualTime>,
+    usual_connect: Cell<LatencyEstimate>,
     /// How long connections have been idle when their upstream gets a request.
-    usual_idle: Cell<UsualTime>,
+    usual_idle: Cell<LatencyEstimate>,
 }
 
 impl Default for ConnectionPool {
     fn default() -> Self {
-        let usual_connect = Cell::new(UsualTime::new(CONNECT_SHARE));
-        let usual_idle = Cell::new(UsualTime::new(IDLE_SHARE));
+        let usual_connect = Cell::new(LatencyEstimate::new(CONNECT_SHARE));
+        let usual_idle = Cell::new(LatencyEstimate::new(IDLE_SHARE).from(EXPECTED_IDLE));
         Self { idle: RefCell::default(), usual_connect, usual_idle }
     }
 }
--- a/src/gateway/usual.rs
+++ b/src/gateway/latency.rs
@@ -1,4 +1,4 @@
-//! What calls to others usually take, and which others failed lately.
+//! How long calls to others take, and which others failed lately.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -7,18 +7,23 @@
 
 /// Running mean of answer times.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct UsualTime {
+pub(crate) struct LatencyEstimate {
     seconds: f64,
     /// Share of the newest time in the mean.
     share: f64,
 }
 
-impl UsualTime {
+impl LatencyEstimate {
     /// A mean in which the newest time has this share.
     pub(crate) fn new(share: f64) -> Self {
         Self { seconds: 0.0, share }
     }
 
+    /// The same mean, from a time that is expected before one was seen.
+    pub(crate) fn from(self, expected: Duration) -> Self {
+        Self { seconds: expected.as_secs_f64(), ..self }
+    }
+
     /// Notes the time of a call that began then and was answered now.
     pub(crate) fn answered(&mut self, begun: Instant) {
         self.seconds += self.share * (begun.elapsed().as_secs_f64() - self.seconds);
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -25,8 +25,7 @@
 const REJOIN: Duration = Duration::from_secs(2);
 /// When an instance that has started asks the seeds that have not answered, and any member, for
 /// everybody once more. Where all start at once, the seeds do not listen yet when they are asked first, and
-/// know nobody when they are asked next: half of 88 instances knew 80 others after 7.6 s and one in ten
-/// after 10 s only, while each took itself for whoever it did not know.
+/// know nobody when they are asked next.
 const ASK_AROUND: [Duration; 5] = [
     Duration::from_millis(200),
     Duration::from_millis(400),
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -11,6 +11,7 @@
 pub mod dialect;
 mod events;
 mod http;
+mod latency;
 mod members;
 mod metrics;
 mod news;
@@ -25,7 +26,6 @@
 mod store;
 mod sweep;
 mod turns;
-mod usual;
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
--- a/src/gateway/news/mod.rs
+++ b/src/gateway/news/mod.rs
@@ -31,9 +31,8 @@
 
 pub(crate) use self::reader::{NEWS_PATH, NewsReaders};
 
-/// Routes confirmed so lately need not be read again to say that one does not exist. A new route must be
-/// in force after 2 s; at the usual age of 0.8 s nearly all are, where with 0.4 s each question for an
-/// unknown route went to the store (0.08 of 1.38 calls a turn, counted at 295 instances).
+/// Routes confirmed so lately need not be asked for again to say that one does not exist. It is less
+/// than the time in which a new route must be in force.
 const FRESH: Duration = Duration::from_millis(1_500);
 
 /// What the instance knows from the store's news.
--- a/src/gateway/news/reader.rs
+++ b/src/gateway/news/reader.rs
@@ -1,8 +1,8 @@
 //! News from an instance of the zone that asks the store for others too.
 //!
-//! Each instance by itself asks the store 2.5 times a second: 740 calls a second at 295 instances (worked
-//! out). Gain: a fifth to a quarter fewer store calls there (three days, the same seeds). A reader is a hint as a coordinator is: it says how long ago it asked
-//! the store, and whoever hears nothing from it, or nothing fresh, asks the store itself at once.
+//! If each instance asked the store, calls and bytes would grow with the instances. A reader is a hint as a
+//! coordinator is: it says how long ago it asked the store, and whoever hears nothing from it, or nothing
+//! fresh, asks the store itself at once.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,14 +14,14 @@
 use super::StoreNews;
 use super::messages::{NewsQuestion, NewsReply, TableNews};
 use super::table_log::NewsLog;
-use crate::gateway::usual::FailedPeers;
+use crate::gateway::latency::FailedPeers;
 use crate::util::pause::ClockMark;
 
 /// Path of the news on the address for peers.
 pub(crate) const NEWS_PATH: &str = "/news";
 
-/// How long a reader may hold a question. Together with the patience and the reader's own pace, what a
-/// reader that freezes has missed is read 1.6 s after it happened; 2 s are allowed.
+/// How long a reader may hold a question. Together with the patience and the reader's own pace it bounds
+/// how late a change is known where a reader freezes.
 const HOLD: Duration = Duration::from_millis(600);
 /// The same for a question of an instance that reads news for others: what its reader misses is missed
 /// by all of them.
@@ -32,8 +32,7 @@
 const START_WAIT: Duration = Duration::from_millis(400);
 /// Pause between two looks for a reader at a start.
 const START_PACE: Duration = Duration::from_millis(20);
-/// How long a follower waits beyond the time that a question may be held. An answer in the zone takes a few milliseconds, on an eighth
-/// of a core some tens.
+/// How long a follower waits beyond the time that a question may be held.
 const PATIENCE: Duration = Duration::from_millis(250);
 /// Longest time since a reader asked the store. Its own questions are held for 0.9 s; beyond that the
 /// store is silent or slow for it, and may not be for the follower.
--- a/src/gateway/quotas/asker.rs
+++ b/src/gateway/quotas/asker.rs
@@ -16,8 +16,8 @@
     AskId, LimitSample, LimiterDesk, QuotaAsk, QuotaBounds, QuotaQuestion, QuotaReply, QuotaTerms,
     QuotaView,
 };
+use crate::gateway::latency::FailedPeers;
 use crate::gateway::members::QuotaListener;
-use crate::gateway::usual::FailedPeers;
 use crate::util::pause::ClockMark;
 
 /// Time until a question is repeated. An answer takes 2 ms between zones, and some 30 where an
--- a/src/gateway/store/health.rs
+++ b/src/gateway/store/health.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::Instant;
 
-use crate::gateway::usual::UsualTime;
+use crate::gateway::latency::LatencyEstimate;
 use crate::node::platform::StoreError;
 
 /// Shortest and longest wait for an answer of the store beyond what it holds a call on purpose. It
@@ -37,7 +37,7 @@
 /// What is known of the ways to the store.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StoreHealth {
-    latency: UsualTime,
+    latency: LatencyEstimate,
     /// Since when no way has worked.
     lost: Option<Instant>,
     /// When a call failed on the direct way, unless one has succeeded since.
@@ -52,7 +52,7 @@
 impl Default for StoreHealth {
     fn default() -> Self {
         Self {
-            latency: UsualTime::new(LATENCY_SHARE),
+            latency: LatencyEstimate::new(LATENCY_SHARE),
             lost: None,
             direct_failed: None,
             direct_answered: None,
--- a/src/gateway/store/relay_order.rs
+++ b/src/gateway/store/relay_order.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use crate::gateway::usual::FailedPeers;
+use crate::gateway::latency::FailedPeers;
 
 /// How long a peer that did not relay is asked last: a cut lasts seconds, and one that has healed is
 /// noticed by the peer's own probe within half a second.
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -16,7 +16,7 @@
 use super::{ChainError, SETTLE_PATIENCE, TurnChain, TurnKeeper};
 use crate::core::turns::{ProgramName, TurnId, TurnRecord, TurnScope};
 use crate::gateway::http::ExchangeError;
-use crate::gateway::usual::{FailedPeers, UsualTime};
+use crate::gateway::latency::{FailedPeers, LatencyEstimate};
 use crate::node::platform::StoreError;
 use crate::util::framed::{frame, unframe};
 
@@ -49,14 +49,14 @@
 /// What is known of coordinators as peers.
 #[derive(Debug)]
 pub(super) struct CoordinatorHealth {
-    latency: UsualTime,
+    latency: LatencyEstimate,
     failed: FailedPeers,
 }
 
 impl Default for CoordinatorHealth {
     fn default() -> Self {
         let failed = FailedPeers::new(PASSED_OVER);
-        Self { latency: UsualTime::new(LATENCY_SHARE), failed }
+        Self { latency: LatencyEstimate::new(LATENCY_SHARE), failed }
     }
 }
 
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -37,12 +37,11 @@
 pub(crate) use self::rows::{LEDGER_KEY, TABLE, index_key, parse_turn_key, row_key};
 
 /// How long a reservation waits for other writes: not at all, as its turn has not begun; it takes along
-/// those that wait. Sent 15 ms after its arrival at the median;
-/// with a wait of 15 ms it was 32.
+/// those that wait.
 const RESERVE_PATIENCE: Duration = Duration::ZERO;
 /// How long a settlement waits for other writes.
 const SETTLE_PATIENCE: Duration = Duration::from_millis(50);
-/// Pause before a write is tried again: the store's answer takes some 4 ms.
+/// Pause before a write is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(40);
 /// How long a settlement that nobody waits for is tried.
 const BACKGROUND_LIMIT: Duration = Duration::from_secs(10);
@@ -273,8 +272,8 @@
 
     /// Writes a turn's record; false if it could not be made durable before `limit`.
     ///
-    /// The ledger is left alone: the record itself says what was used. Writing both, 16 to 23 in 100
-    /// transactions met a change of the ledger by another turn of the program, and went out again.
+    /// The ledger is left alone: the record itself says what was used. A write of both would conflict
+    /// with each reservation of another turn of the program.
     async fn record(
         &self,
         program: &ProgramName,
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -47,8 +47,7 @@
     /// condition of the one on its way. Left alone, it would end the program's budget too soon.
     ///
     /// Reservations of one program that come while its ledger is being written go together in the
-    /// next write. Each by itself, ten sub-agents that start at once conflict ten times: a claim took
-    /// 17 ms at the median and 100 ms at p95.
+    /// next write; each by itself, sub-agents that start at once would conflict with one another.
     pub(super) async fn reserve(
         self: &Rc<Self>,
         claim: &TurnClaim,
--- a/src/gateway/turns/rows.rs
+++ b/src/gateway/turns/rows.rs
@@ -24,8 +24,7 @@
 }
 
 /// The index row of a turn, in a part of its own: the store writes a part one transaction after
-/// another. With 256 parts for all turns, a store that had slowed down 50-fold made transactions
-/// wait for each other's index parts, and refused some for that.
+/// another, so turns that share a part would wait for each other.
 pub(crate) fn index_key(turn: &TurnId) -> RowKey {
     RowKey { table: INDEX_TABLE.into(), part: turn.clone(), key: turn.clone() }
 }
