--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -85,18 +85,20 @@
         if names.longest() > MAX_NAME_BYTES {
             return Err(bad("name_too_long"));
         }
-        let admitted = match scope {
-            TurnScope::History if names.previous.is_some() => Ok(()),
+        let reply = match scope {
+            TurnScope::History if names.previous.is_some() => AdmissionReply::Admitted,
             TurnScope::History | TurnScope::Tokens => self.admit(call, &names.program),
         };
+        let is_shut = reply != AdmissionReply::Admitted;
+        if is_shut && scope == TurnScope::History {
+            return Err(turned_away(call, &names.program, reply));
+        }
         // Only the coordinator knows whether a turn without a history is its program's first.
-        let only_known = match (scope, admitted) {
-            (_, Ok(())) => None,
-            (TurnScope::Tokens, Err(refusal)) => Some(refusal),
-            (TurnScope::History, Err(refusal)) => return Err(refusal),
-        };
-        let claim = self.turn_claim(call, &names, scope, only_known.is_some());
-        let claimed = self.claim_turn(call, claim, only_known, log).await?;
+        let claim = self.turn_claim(call, &names, scope, is_shut);
+        let claimed = self.claim_turn(call, claim, log).await.map_err(|error| match error {
+            ClaimError::NotAdmitted => turned_away(call, &names.program, reply),
+            error => self.claim_refusal(call, &names.program, error),
+        })?;
         let ClaimedTurn { chain, holder, reservation } = claimed;
         let input = call.body.clone();
         match scope {
@@ -114,10 +116,10 @@
         Ok(TurnWork { scope, previous, origin: chain.origin, input, reservation })
     }
 
-    /// Lets a program's first turn in, or turns it away while engines have far more than they can do.
-    fn admit(&self, call: &CallContext, program: &ProgramName) -> Result<(), Refusal> {
+    /// Whether a program's first turn is let in: not while engines have far more than they can do.
+    fn admit(&self, call: &CallContext, program: &ProgramName) -> AdmissionReply {
         if !self.settings.uses(GatewayMechanism::AdmissionGate) {
-            return Ok(());
+            return AdmissionReply::Admitted;
         }
         let request = AdmissionRequest {
             service: &call.service,
@@ -125,20 +127,7 @@
             priority: call.rank,
             now: Instant::now(),
         };
-        let reply = self.gate.borrow_mut().admit(&request);
-        let AdmissionReply::TurnedAway { retry_after, share, excess } = reply else {
-            return Ok(());
-        };
-        log::info!(
-            "event=turn_turned_away request={} program={program} service={} priority={} \
-             share={share:.2} excess_ms={} retry_ms={}",
-            call.id,
-            call.service,
-            call.rank,
-            excess.as_millis(),
-            retry_after.as_millis()
-        );
-        Err(Refusal::not_run("engines_overloaded", retry_after))
+        self.gate.borrow_mut().admit(&request)
     }
 
     /// The engine that holds the chain, unless it has started anew since.
@@ -177,18 +166,15 @@
         self.members.coordinator(program).map_or(TurnCoordinator::Here, TurnCoordinator::Peer)
     }
 
-    /// Claims the turn at the instance that coordinates its program, or here. `not_admitted` is what
-    /// a new program is told while new ones are turned away.
+    /// Claims the turn at the instance that coordinates its program, or here.
     async fn claim_turn(
         &self,
         call: &CallContext,
         claim: TurnClaim,
-        not_admitted: Option<Refusal>,
         log: &AttemptLog,
-    ) -> Result<ClaimedTurn, Refusal> {
-        let program = claim.program.clone();
+    ) -> Result<ClaimedTurn, ClaimError> {
         let limit = call.deadline - RESERVE_MARGIN.min(call.route.timeout);
-        let coordinator = self.coordinator(&program);
+        let coordinator = self.coordinator(&claim.program);
         if let TurnCoordinator::Peer(peer) = &coordinator {
             log.coordinator.replace(Some(peer.clone()));
         }
@@ -201,10 +187,7 @@
             Err(ClaimError::NotAdmitted) => "not_admitted",
             Err(ClaimError::Store(_) | ClaimError::Doubtful(_)) => "store_failed",
         });
-        claimed.map_err(|error| match (error, not_admitted) {
-            (ClaimError::NotAdmitted, Some(refusal)) => refusal,
-            (error, _) => self.claim_refusal(call, &program, error),
-        })
+        claimed
     }
 
     /// Claims a turn; if the whole store is away, as soon as it is back, for as long as the caller has
@@ -268,6 +251,23 @@
     }
 }
 
+/// The refusal of a program's first turn.
+fn turned_away(call: &CallContext, program: &ProgramName, reply: AdmissionReply) -> Refusal {
+    let AdmissionReply::TurnedAway { retry_after, share, excess } = reply else {
+        return Refusal::not_run("engines_overloaded", NOT_ADMITTED_RETRY);
+    };
+    log::info!(
+        "event=turn_turned_away request={} program={program} service={} priority={} \
+         share={share:.2} excess_ms={} retry_ms={}",
+        call.id,
+        call.service,
+        call.rank,
+        excess.as_millis(),
+        retry_after.as_millis()
+    );
+    Refusal::not_run("engines_overloaded", retry_after)
+}
+
 impl TurnWork {
     /// Notes which engine holds what the next turn of the line begins with.
     pub(super) fn note_holder(&mut self, line: Option<&LineName>, choice: &UpstreamChoice) {
