--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -28,11 +28,19 @@
 /// Calls of the store over the direct way, also those made for peers.
 pub(crate) struct StoreMeter {
     calls: Counter<u64>,
+    bytes: Counter<u64>,
     /// Time to the whole answer; a question for changes includes what the store holds it.
     call_seconds: Histogram<f64>,
 }
 
 impl StoreMeter {
+    /// Notes the bytes of bodies that a call has sent and got.
+    pub(crate) fn moved(&self, kind: StoreCallKind, sent: usize, got: usize) {
+        let kind = KeyValue::new("kind", kind.to_string());
+        self.bytes.add(sent as u64, &[kind.clone(), KeyValue::new("direction", "sent")]);
+        self.bytes.add(got as u64, &[kind, KeyValue::new("direction", "got")]);
+    }
+
     pub(crate) fn call_ended(&self, kind: StoreCallKind, outcome: &'static str, elapsed: Duration) {
         let kind = KeyValue::new("kind", kind.to_string());
         self.call_seconds.record(elapsed.as_secs_f64(), std::slice::from_ref(&kind));
@@ -170,6 +178,7 @@
         let meter = self.exposition.meter(SCOPE);
         StoreMeter {
             calls: meter.u64_counter("gateway_store_calls").build(),
+            bytes: meter.u64_counter("gateway_store_bytes").build(),
             call_seconds: latency_histogram(&meter, "gateway_store_call_seconds"),
         }
     }
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -223,6 +223,7 @@
     assert!(measures(&metrics, reservations, &[r#"outcome="exhausted""#], "1"), "{metrics}");
     let answered = [r#"kind="commit""#, r#"outcome="answered""#];
     assert!(measures(&metrics, "gateway_store_calls_total{", &answered, "2"), "{metrics}");
+    assert!(metrics.contains("gateway_store_bytes_total{direction=\"sent\""), "{metrics}");
     let commits = "gateway_store_call_seconds_count{";
     assert!(measures(&metrics, commits, &[r#"kind="commit""#], "2"), "{metrics}");
     assert!(metrics.contains(r#"kind="range""#) && metrics.contains(r#"kind="changes""#));
