--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -18,7 +18,7 @@
 use super::Gateway;
 use super::call::CallContext;
 use super::dialect::{AnswerHead, AttemptHead};
-use super::http::{AnswerError, ConnectPlan, UpstreamConnection};
+use super::http::{AnswerError, UpstreamConnection};
 use super::refusal::Refusal;
 use crate::core::ids::UpstreamId;
 use crate::core::routing::RouteKind;
@@ -221,8 +221,7 @@
         log: &AttemptLog,
     ) -> Result<UpstreamAnswer, AttemptError> {
         let guard = AttemptGuard::new(self, call, choice);
-        let plan = ConnectPlan { proven: !call.route.is_idempotent(), tried: log.unreached.get() };
-        let connection = self.pool.get_planned(&choice.address, plan).await;
+        let connection = self.pool.get_proven(&choice.address, log.unreached.get()).await;
         let mut connection = connection.map_err(|error| {
             log::debug!("event=connect_failed upstream={} error=\"{error}\"", choice.id);
             log.unreached.set(log.unreached.get() + 1);
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 
 pub(crate) use caller::{CallerReader, CallerRequest, CallerWriter, ReadError, split_caller};
-pub(crate) use pool::{ConnectPlan, ConnectionPool, ExchangeError};
+pub(crate) use pool::{ConnectionPool, ExchangeError};
 pub(crate) use upstream::{AnswerError, UpstreamConnection};
 
 /// A peer that does not acknowledge bytes for so long is given up. Links take a few
--- a/src/gateway/http/pool.rs
+++ b/src/gateway/http/pool.rs
@@ -21,9 +21,9 @@
 const CONNECT_FACTOR: f64 = 8.0;
 /// Share of the newest connection in the usual time.
 const CONNECT_SHARE: f64 = 0.125;
-/// How long ago a kept connection may have carried an answer that is given a request which must not run
-/// twice. A peer that is gone without a word is noticed seconds later, and what was sent to it meanwhile
-/// can neither be answered nor sent again.
+/// How long ago a kept connection may have carried an answer to be given another request. A peer that is
+/// gone without a word is noticed seconds later; what was sent to it meanwhile waits for nothing, and may
+/// not be sent again if it must not run twice.
 const PROVEN_FOR: Duration = Duration::from_secs(1);
 /// Usual time between two uses of a connection above which that is asked for. Where connections are used
 /// more often, an upstream that is gone is found out by a few requests and avoided by the others.
@@ -71,15 +71,6 @@
     used: Instant,
 }
 
-/// How a connection for a request is got.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ConnectPlan {
-    /// Whether the request must not run twice, so that it goes only where the peer was there just now.
-    pub(crate) proven: bool,
-    /// Connections that the request has tried in vain.
-    pub(crate) tried: u32,
-}
-
 /// All idle connections of an instance.
 pub(crate) struct ConnectionPool {
     idle: RefCell<HashMap<Box<str>, Vec<IdleConnection>>>,
@@ -146,21 +137,21 @@
     }
 
     /// A connection for a request that may still go elsewhere: an upstream that does not take one in a
-    /// multiple of the usual time is left for the next, with more patience each time.
-    pub(crate) async fn get_planned(
+    /// multiple of the usual time is left for the next, with more patience after each that was tried.
+    pub(crate) async fn get_proven(
         &self,
         address: &str,
-        plan: ConnectPlan,
+        tried: u32,
     ) -> Result<UpstreamConnection, ConnectError> {
         self.note_idle(address);
         let rare = self.usual_idle.get().mean() > RARE_USE;
-        let since = Instant::now().checked_sub(PROVEN_FOR).filter(|_| plan.proven && rare);
+        let since = Instant::now().checked_sub(PROVEN_FOR).filter(|_| rare);
         if let Some(connection) = self.take_used_since(address, since) {
             return Ok(connection);
         }
         let usual = self.usual_connect.get();
         let least = usual.scaled(CONNECT_FACTOR, CONNECT_MIN, CONNECT_TIMEOUT);
-        let patience = least * 2_u32.saturating_pow(plan.tried.min(4));
+        let patience = least * 2_u32.saturating_pow(tried.min(4));
         self.connect_within(address, patience.min(CONNECT_TIMEOUT)).await
     }
 
