--- a/src/gateway/turns/allowances.rs
+++ b/src/gateway/turns/allowances.rs
@@ -7,14 +7,12 @@
 use futures_util::future::join_all;
 use tokio::time::Instant;
 
-use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
+use super::claim::{CLAIM_TRIES, ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
 use super::{BACKGROUND_LIMIT, ReserveError, TurnChain, TurnEnd, TurnKeeper, TurnReservation};
 use crate::core::turns::{
     LineHolders, ProgramLedger, ProgramName, ReserveReply, TURNS_AHEAD, TokenAllowance, TurnScope,
 };
 
-/// Times a turn is claimed whose ledger expires meanwhile.
-const CLAIM_TRIES: usize = 3;
 /// Unused for so long, an allowance may be given back: its program has ended or pauses.
 const IDLE: Duration = Duration::from_secs(30);
 /// Allowances that were used so lately are given back when another instance coordinates their programs.
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -12,7 +12,7 @@
 use crate::node::platform::StoreError;
 
 /// Times a turn is claimed before what it continues from counts as gone.
-const CLAIM_TRIES: usize = 3;
+pub(super) const CLAIM_TRIES: usize = 3;
 
 /// What a turn asks for.
 #[derive(Debug, Clone, Serialize, Deserialize)]
