Log a fingerprint of each request, which all attempts of its caller share

Change: a hash of workspace, program, branch, previous turn, affinity key, method, host, target and body as sent, in call_ended, attempt_unknown and answer_broken. No change of logic.

--- a/src/core/mod.rs
+++ b/src/core/mod.rs
@@ -15,6 +15,7 @@
 pub mod outcome;
 pub mod ownership;
 pub mod quotas;
+pub mod repeats;
 pub mod routing;
 pub mod timeline;
 pub mod turns;
--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -199,10 +199,13 @@
                 }
                 Err(AttemptError::Unknown(cause)) => {
                     log::warn!(
-                        "event=attempt_unknown request={} upstream={} runs={} cause=\"{cause}\"",
+                        "event=attempt_unknown request={} upstream={} runs={} cause=\"{cause}\" \
+                         program={} fingerprint={}",
                         call.id,
                         choice.id,
-                        progress.runs.get()
+                        progress.runs.get(),
+                        call.program_name(),
+                        call.fingerprint
                     );
                     pinned = self.plan_rerun(call, &choice, tried, progress)?;
                 }
@@ -299,7 +302,7 @@
             "event=turn_turned_away request={} program={} service={} reason=start_too_late \
              wait_ms={} prefill_ms={} caller_ms={} retry_ms={}",
             call.id,
-            call.head.program.as_deref().unwrap_or("-"),
+            call.program_name(),
             call.service,
             start.wait.as_millis(),
             start.prefill.as_millis(),
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -24,6 +24,7 @@
 use super::refusal::Refusal;
 use crate::core::admission::first_event_timeout;
 use crate::core::ids::{RequestId, Tokens, UpstreamId};
+use crate::core::repeats::RequestFingerprint;
 use crate::core::routing::{RouteKind, RouteSpec, ServiceName};
 use crate::core::turns::TurnScope;
 use crate::core::workspaces::WorkspaceSpec;
@@ -39,6 +40,7 @@
     pub(crate) headers: HeaderMap,
     /// Preceded by the chain of a turn once that has been read.
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: RequestFingerprint,
     pub(crate) route: Rc<RouteSpec>,
     pub(crate) service: ServiceName,
     pub(crate) arrived: Instant,
@@ -75,6 +77,10 @@
         is_stream.then(|| first_event_timeout(self.route.objective, self.route.max_pause))
     }
 
+    pub(crate) fn program_name(&self) -> &str {
+        self.head.program.as_deref().unwrap_or("-")
+    }
+
     pub(crate) fn workspace_name(&self) -> &str {
         self.workspace.as_ref().map_or("-", |workspace| &workspace.name)
     }
@@ -126,9 +132,9 @@
         log::info!(
             "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
              upstream={} tries={} runs={} coordinator={} claimed_ms={} sent_ms={} first_ms={} \
-             ms={} workspace={}",
+             ms={} workspace={} fingerprint={}",
             call.id,
-            call.head.program.as_deref().unwrap_or("-"),
+            call.program_name(),
             call.route.name,
             call.route.kind,
             end.outcome,
@@ -142,6 +148,7 @@
             end.first_byte_after.map_or(0, |waited| waited.as_millis()),
             elapsed.as_millis(),
             call.workspace_name(),
+            call.fingerprint,
         );
     }
 
--- a/src/gateway/call/prepare.rs
+++ b/src/gateway/call/prepare.rs
@@ -11,8 +11,10 @@
 use super::CallContext;
 use super::access::CallGrant;
 use crate::core::ids::RequestId;
+use crate::core::repeats::{FingerprintFields, RequestFingerprint};
 use crate::core::routing::{RouteKind, RouteSpec};
 use crate::core::turns::TurnScope;
+use crate::core::workspaces::WorkspaceSpec;
 use crate::gateway::Gateway;
 use crate::gateway::dialect::CallHead;
 use crate::gateway::http::{CallerReader, CallerRequest, CallerWriter};
@@ -62,6 +64,25 @@
     (budgeted && route.kind == RouteKind::Stream).then_some(TurnScope::Tokens)
 }
 
+fn fingerprint(
+    request: &CallerRequest,
+    head: &CallHead,
+    workspace: Option<&WorkspaceSpec>,
+    body: &[u8],
+) -> RequestFingerprint {
+    RequestFingerprint::of(&FingerprintFields {
+        workspace: workspace.map(|workspace| &*workspace.name),
+        program: head.program.as_deref(),
+        branch: head.branch.as_deref(),
+        previous: head.previous.as_deref(),
+        affinity: head.affinity.as_deref(),
+        method: request.method.as_str(),
+        host: &request.host,
+        target: &request.target,
+        body,
+    })
+}
+
 impl Gateway {
     pub(super) async fn prepare(
         self: &Rc<Self>,
@@ -102,6 +123,7 @@
         let engine = table.service(&service).and_then(|spec| spec.engine.as_ref());
         let call = CallContext {
             id: id.clone(),
+            fingerprint: fingerprint(&request, &head, workspace.as_deref(), &body),
             method: request.method.clone(),
             target: request.target.clone(),
             headers: end_to_end_headers(&request.headers),
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -158,11 +158,14 @@
         broken.guard.record(AttemptResult::Broken);
         let UpstreamAnswer { choice, connection, guard, sent_at, .. } = broken;
         log::warn!(
-            "event=answer_broken request={} upstream={} sent_ms={} events={} error=\"{error}\"",
+            "event=answer_broken request={} upstream={} sent_ms={} events={} error=\"{error}\" \
+             program={} fingerprint={}",
             call.id,
             choice.id,
             sent_at.elapsed().as_millis(),
-            state.events.events()
+            state.events.events(),
+            call.program_name(),
+            call.fingerprint
         );
         // Upstreams cancel a request when its connection closes.
         drop((connection, guard));
