--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -1,14 +1,18 @@
 //! Stand-in for an upstream, with scripted faults.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::ops::RangeInclusive;
 use std::rc::Rc;
 use std::time::Duration;
 
+use actix_rt::task::JoinHandle;
 use tokio::net::TcpListener;
+use tokio::time::sleep;
 
 use super::http::{RawMessage, Step, answer, serve};
+use super::store::StandinStore;
+use super::{ENGINES_TABLE, engine_entry};
 
 /// Scripted behavior for one request; without any, the request succeeds.
 #[derive(Debug, Clone)]
@@ -38,8 +42,63 @@
     Paced(Duration),
 }
 
+/// What happens to an engine while it runs a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EngineLoss {
+    /// Its entry is removed, and its connections close a moment later.
+    EntryFirst,
+    /// Its connections close as its entry is removed.
+    Together,
+    /// Its connections close, and its entry stays.
+    EntryStays,
+    /// Its connections stay open without a byte, and its entry is removed.
+    Silent,
+    /// Its connections close, and a new incarnation of the same id starts at once.
+    Reborn,
+    /// It does not end; only the connection of the request closes.
+    CutOff,
+    /// It does not end; its entry is removed, and it answers later with an error.
+    Lapse,
+}
+
+/// Time between the removal of an entry and the end of the connections. Instances poll the list.
+const END_DELAY: Duration = Duration::from_millis(800);
+
+/// Leaves a connection time to send what precedes the end.
+const SEND_DELAY: Duration = Duration::from_millis(20);
+
+/// An engine's own entry in the store.
+struct Registration {
+    store: StandinStore,
+    id: String,
+    started_at: u64,
+}
+
+/// Requests under which engines are lost.
+#[derive(Debug, Clone)]
+pub struct DeadlyRequests {
+    /// Part of their bodies.
+    pub text: &'static str,
+    pub loss: EngineLoss,
+    /// Events of a stream that are sent before.
+    pub events: usize,
+    /// Losses that are left, over all engines that share the cell.
+    pub left: Rc<Cell<u32>>,
+}
+
+impl DeadlyRequests {
+    pub fn new(text: &'static str, loss: EngineLoss) -> Self {
+        Self { text, loss, events: 0, left: Rc::new(Cell::new(u32::MAX)) }
+    }
+}
+
 #[derive(Default)]
 struct State {
+    process: Option<JoinHandle<()>>,
+    registration: Option<Registration>,
+    deadly: Option<DeadlyRequests>,
+    ends: u32,
+    is_silent: bool,
     acts: VecDeque<EngineAct>,
     runs: Vec<RawMessage>,
     seen: u32,
@@ -58,13 +117,103 @@
         let listener = TcpListener::bind(format!("{ip}:0")).await.expect("a free port");
         let address = listener.local_addr().expect("listener is bound").to_string();
         let engine = self.clone();
-        actix_rt::spawn(serve(listener, move |request| {
+        let process = actix_rt::spawn(serve(listener, move |request| {
             let steps = engine.handle(request);
             async move { steps }
         }));
+        self.state.borrow_mut().process = Some(process);
         address
     }
 
+    /// Starts the engine and registers it under this id.
+    pub async fn start_registered(&self, store: &StandinStore, id: &str) {
+        let registration = Registration { store: store.clone(), id: id.to_owned(), started_at: 1 };
+        self.state.borrow_mut().registration = Some(registration);
+        self.start_incarnation().await;
+    }
+
+    async fn start_incarnation(&self) {
+        let address = self.start("127.0.0.1").await;
+        let state = self.state.borrow();
+        let registration = state.registration.as_ref().expect("the engine is registered");
+        let mut entry = engine_entry("zone-a", &address, "ready");
+        entry["born"] = registration.started_at.into();
+        registration.store.put(ENGINES_TABLE, &registration.id, &entry);
+    }
+
+    pub fn lose_on(&self, deadly: &DeadlyRequests) {
+        self.state.borrow_mut().deadly = Some(deadly.clone());
+    }
+
+    /// How often the engine has ended.
+    pub fn ends(&self) -> u32 {
+        self.state.borrow().ends
+    }
+
+    pub fn unregister(&self) {
+        let state = self.state.borrow();
+        let registration = state.registration.as_ref().expect("the engine is registered");
+        registration.store.remove(ENGINES_TABLE, &registration.id);
+    }
+
+    fn stop(&self) {
+        self.state.borrow_mut().process.take().into_iter().for_each(|process| process.abort());
+    }
+
+    /// The steps of the request under which the engine is lost.
+    fn begin_loss(&self, loss: EngineLoss, head: &str, sent: Vec<u8>) -> Vec<Step> {
+        match loss {
+            EngineLoss::CutOff => return vec![Step::Send(sent), Step::Close],
+            EngineLoss::Lapse => {
+                self.unregister();
+                return vec![Step::Pause(END_DELAY), answer(500, head, b"failed")];
+            }
+            _ => {}
+        }
+        self.state.borrow_mut().ends += 1;
+        let engine = self.clone();
+        actix_rt::spawn(async move { engine.lose(loss).await });
+        vec![Step::Send(sent), Step::Hang]
+    }
+
+    async fn lose(&self, loss: EngineLoss) {
+        sleep(SEND_DELAY).await;
+        match loss {
+            EngineLoss::EntryFirst => {
+                self.unregister();
+                sleep(END_DELAY).await;
+                self.stop();
+            }
+            EngineLoss::Together => {
+                self.stop();
+                self.unregister();
+            }
+            EngineLoss::EntryStays => self.stop(),
+            EngineLoss::Silent => {
+                self.state.borrow_mut().is_silent = true;
+                self.unregister();
+            }
+            EngineLoss::Reborn => {
+                self.stop();
+                if let Some(registration) = self.state.borrow_mut().registration.as_mut() {
+                    registration.started_at += 1;
+                }
+                self.start_incarnation().await;
+            }
+            EngineLoss::CutOff | EngineLoss::Lapse => {}
+        }
+    }
+
+    fn take_loss(&self, request: &RawMessage) -> Option<DeadlyRequests> {
+        let state = self.state.borrow();
+        let deadly = state.deadly.as_ref()?;
+        if !request.text().contains(deadly.text) || deadly.left.get() == 0 {
+            return None;
+        }
+        deadly.left.set(deadly.left.get() - 1);
+        Some(deadly.clone())
+    }
+
     pub fn act(&self, act: EngineAct) {
         self.state.borrow_mut().acts.push_back(act);
     }
@@ -89,6 +238,9 @@
     fn handle(&self, request: RawMessage) -> Vec<Step> {
         let id = request.header("merlinsaddle-request-id").to_owned();
         let mut state = self.state.borrow_mut();
+        if state.is_silent {
+            return vec![Step::Hang];
+        }
         state.seen += 1;
         let act = state.acts.pop_front();
         let head = format!("merlinsaddle-request-id: {id}\r\nmerlinsaddle-server-stamp: s\r\n");
@@ -103,6 +255,11 @@
         let is_stream = request.target().contains("/turn");
         let after: usize = request.header("last-event-id").parse().unwrap_or(0);
         let events = |count: usize, end: bool| stream(&head, after + 1..=count, end);
+        drop(state);
+        if let Some(deadly) = self.take_loss(&request) {
+            let sent = if deadly.events > 0 { events(deadly.events, false) } else { Vec::new() };
+            return self.begin_loss(deadly.loss, &head, sent);
+        }
         match act {
             Some(EngineAct::LoseAnswer) => vec![Step::Close],
             Some(EngineAct::CutAfter(count)) => vec![Step::Send(events(count, false)), Step::Close],
--- a/tests/platform_standin/http.rs
+++ b/tests/platform_standin/http.rs
@@ -7,6 +7,7 @@
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
 use tokio::time::sleep;
 
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -56,17 +57,20 @@
     Step::Send([head.as_bytes(), body].concat())
 }
 
-/// Serves each request with the steps that `handle` returns.
+/// Serves each request with the steps that `handle` returns. If the future is dropped, its connections
+/// close with the listener, as those of a process that ends.
 pub async fn serve<F, R>(listener: TcpListener, handle: F)
 where
     F: Fn(RawMessage) -> R + 'static,
     R: Future<Output = Vec<Step>> + 'static,
 {
     let handle = Rc::new(handle);
+    let mut connections = JoinSet::new();
     loop {
         let (stream, _) = listener.accept().await.expect("loopback accepts");
+        while connections.try_join_next().is_some() {}
         let handle = handle.clone();
-        actix_rt::spawn(async move {
+        connections.spawn_local(async move {
             let mut wire = Wire::new(stream);
             while let Some(request) = wire.read_message(false).await {
                 for step in handle(request).await {
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -26,6 +26,7 @@
 /// Generous, since tests may run on a loaded machine.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 pub const HOST: &str = "skills.example";
+const ENGINES_TABLE: &str = "servers";
 
 enum Ending {
     Killed,
@@ -205,6 +206,19 @@
         deployment
     }
 
+    /// Adds engines that register themselves and may end.
+    pub async fn add_registered_engines(&mut self, count: usize) {
+        for number in self.engines.len()..self.engines.len() + count {
+            let engine = StandinEngine::default();
+            engine.start_registered(&self.store, &format!("r{number}")).await;
+            self.engines.push(engine);
+        }
+    }
+
+    pub fn ends(&self) -> u32 {
+        self.engines.iter().map(StandinEngine::ends).sum()
+    }
+
     pub async fn add_gateway(&mut self, number: usize) {
         let store = self.store_address.clone();
         self.add_gateway_at(&gateway_ip(number), &store, &json!({})).await;
@@ -250,11 +264,11 @@
     pub fn list_incarnation(&self, id: &str, address: &str, state: &str, started_at: u64) {
         let mut entry = engine_entry("zone-a", address, state);
         entry["born"] = started_at.into();
-        self.store.put("servers", id, &entry);
+        self.store.put(ENGINES_TABLE, id, &entry);
     }
 
     fn list_engine_in(&self, zone: &str, id: &str, address: &str, state: &str) {
-        self.store.put("servers", id, &engine_entry(zone, address, state));
+        self.store.put(ENGINES_TABLE, id, &engine_entry(zone, address, state));
     }
 
     pub fn gateway(&self) -> &TestGateway {
