Bound the upstreams lost under one attempt of a caller

Cause (H1): rerun_target counted the incarnations that got the request and left out those that were not listed at that moment; a refused connection took one out for good. What came and went of the list set the count back, and no other bound was left but the deadline. Change: no upstream leaves the record of a request. One whose connection ended and whose entry is gone, or that refuses a connection, still does not count against max_attempts, as the platform allows, but against a bound of its own: after three no further one gets the request and the caller is told at once (502). One that answered counts for good, also if its entry lapses. Upstreams that got a request are not tried again with those that rejected it. Ruled out: leaving ended engines out of the count by better evidence. It comes late (the list is polled each 0.7 s), and an engine may be cut off, lapsed or reborn.

--- a/src/core/repeats/mod.rs
+++ b/src/core/repeats/mod.rs
@@ -1,5 +1,13 @@
 //! Bounds how often the same work is sent to upstreams that do not survive it.
+//!
+//! A request that ends its upstream (a malformed prompt, a query that exhausts the memory) would
+//! otherwise end one after the other, as its caller comes back and each attempt looks like the first.
 
 mod fingerprint;
+mod rerun;
 
 pub use fingerprint::{FingerprintFields, RequestFingerprint};
+pub use rerun::{RerunCounts, RerunDecision, RerunLimits, SentUpstreams};
+
+/// Upstreams that may be lost one after the other under the same request. Two may be lost by chance.
+pub const MAX_LOSSES: usize = 3;
--- a/src/core/upstreams/choice.rs
+++ b/src/core/upstreams/choice.rs
@@ -5,7 +5,7 @@
 
 use super::health::LOAD_DECAY;
 use super::table::TrackedUpstream;
-use super::{PromptBlock, StartMillis, UpstreamTable};
+use super::{PromptBlock, StartMillis, UpstreamIncarnation, UpstreamTable};
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::load::{LoadKey, LoadView, UpstreamLoad};
 
@@ -82,6 +82,12 @@
     pub wait_ms: f64,
 }
 
+impl UpstreamChoice {
+    pub fn incarnation(&self) -> UpstreamIncarnation {
+        UpstreamIncarnation { id: self.id.clone(), started_at: self.started_at }
+    }
+}
+
 /// A candidate with its rank in the order of the request.
 pub(super) type RankedUpstream<'a> = (usize, &'a TrackedUpstream);
 
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -36,6 +36,13 @@
     Draining,
 }
 
+/// One run of an upstream; a restart may keep the id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UpstreamIncarnation {
+    pub id: UpstreamId,
+    pub started_at: Option<StartMillis>,
+}
+
 /// An upstream's own entry in the store.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct UpstreamEntry {
--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -22,6 +22,7 @@
 use super::{Gateway, GatewayMechanism};
 use crate::core::admission::{ExpectedStart, retry_delay};
 use crate::core::ids::UpstreamId;
+use crate::core::repeats::RerunDecision;
 use crate::core::routing::RouteKind;
 use crate::core::upstreams::{AttemptResult, ChoiceRequest, UpstreamChoice};
 
@@ -40,7 +41,6 @@
 const RETRY_BUDGET_DELAY: Duration = Duration::from_millis(500);
 /// Responses to idempotent requests, which are buffered, usually have a few kilobytes.
 const MAX_BUFFERED_BODY_BYTES: usize = 4 * 1024 * 1024;
-const MAX_SAME_UPSTREAM_RERUNS: u32 = 3;
 const MAX_DISCARDED_BODY_BYTES: usize = 1024 * 1024;
 
 pub(crate) struct UpstreamAnswer {
@@ -59,14 +59,6 @@
     Unknown(&'static str),
 }
 
-/// Upstreams that may run a request again after one that may have run it.
-enum RerunTarget {
-    Other,
-    /// The route's limit of upstreams is reached.
-    Same,
-    Forbidden,
-}
-
 impl Gateway {
     /// Retries at another upstream only if the request did not run or its route allows a rerun.
     pub(crate) async fn attempt(
@@ -97,38 +89,21 @@
         tried: &mut Vec<UpstreamId>,
         progress: &AttemptProgress,
     ) -> Result<Option<UpstreamChoice>, Refusal> {
-        match self.rerun_target(call, progress) {
-            RerunTarget::Other => {
+        match self.decide_rerun(call, progress) {
+            RerunDecision::OtherUpstream => {
                 tried.push(lost.id.clone());
                 Ok(None)
             }
-            RerunTarget::Same => {
+            RerunDecision::SameUpstream => {
                 progress.same_upstream_reruns.set(progress.same_upstream_reruns.get() + 1);
                 Ok(Some(lost.clone()))
             }
-            RerunTarget::Forbidden => Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost")),
-        }
-    }
-
-    /// Incarnations that have ended do not count towards the route's `max_attempts`.
-    fn rerun_target(&self, call: &CallContext, progress: &AttemptProgress) -> RerunTarget {
-        if !call.route.is_idempotent() || Instant::now() >= call.deadline {
-            return RerunTarget::Forbidden;
-        }
-        let upstreams = self.feed.upstreams.borrow();
-        let incarnations = progress.incarnations.borrow();
-        let running = incarnations
-            .iter()
-            .filter(|known| upstreams.has_incarnation(&known.id, known.started_at))
-            .count();
-        if running < call.route.max_attempts as usize {
-            RerunTarget::Other
-        } else if call.route.is_resumable
-            && progress.same_upstream_reruns.get() < MAX_SAME_UPSTREAM_RERUNS
-        {
-            RerunTarget::Same
-        } else {
-            RerunTarget::Forbidden
+            RerunDecision::Forbidden => {
+                Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "answer_lost"))
+            }
+            RerunDecision::UpstreamsLost => {
+                Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "upstreams_lost"))
+            }
         }
     }
 
@@ -160,7 +135,7 @@
                     ));
                 }
                 sleep(UPSTREAM_RETRY_INTERVAL).await;
-                tried.clear();
+                tried.retain(|id| progress.sent.borrow().contains(id));
                 continue;
             };
             self.check_start(call, &choice, progress)?;
@@ -220,7 +195,7 @@
         progress: &AttemptProgress,
     ) -> bool {
         answer.head.status.is_server_error()
-            && matches!(self.rerun_target(call, progress), RerunTarget::Other)
+            && self.decide_rerun(call, progress) == RerunDecision::OtherUpstream
     }
 
     fn choose(&self, call: &CallContext, tried: &[UpstreamId]) -> Option<UpstreamChoice> {
@@ -336,6 +311,7 @@
         let (head, info) = exchange.map_err(|error| {
             guard.record(AttemptResult::Broken);
             progress.record_run(choice);
+            self.record_failure(call, progress, choice, sent_at, &error);
             log::debug!("event=answer_lost upstream={} error=\"{error}\"", choice.id);
             AttemptError::Unknown(error_label(&error))
         })?;
@@ -352,6 +328,7 @@
         progress.record_run(choice);
         let body = self.buffer_body(call, &mut connection).await.map_err(|error| {
             guard.record(AttemptResult::Broken);
+            self.record_failure(call, progress, choice, sent_at, &error);
             AttemptError::Unknown(error_label(&error))
         })?;
         Ok(UpstreamAnswer { choice: choice.clone(), connection, head, info, body, guard, sent_at })
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -167,6 +167,7 @@
             call.program_name(),
             call.fingerprint
         );
+        self.record_failure(call, progress, &choice, sent_at, error);
         // Upstreams cancel a request when its connection closes.
         drop((connection, guard));
         let last = state.events.last_id().cloned();
--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -30,6 +30,13 @@
     Foreign,
 }
 
+impl AnswerError {
+    /// The connection ended early, as it does when the upstream ends; a wrong answer shows that it runs.
+    pub(crate) fn is_connection_end(&self) -> bool {
+        matches!(self, Self::Ended | Self::Broken(_))
+    }
+}
+
 enum BodyState {
     /// No response is being read, or its body is complete.
     Done,
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -16,6 +16,7 @@
 mod quotas;
 mod readiness;
 mod refusal;
+mod repeats;
 pub mod rows;
 mod run;
 mod server;
--- /dev/null
+++ b/src/gateway/repeats/mod.rs
@@ -0,0 +1,3 @@
+//! Bounds the upstreams that are lost under a request.
+
+mod decision;
