Count the upstreams lost under a request over the attempts of its caller

Callers saw: each attempt of a caller that came back ended further engines: 5 to 10 in five attempts at one instance, 9 in nine attempts at two and at four. Change: losses are counted by the fingerprint of the request. Each fingerprint has two keepers among the members, to whom every loss is reported (a datagram, sent twice). At a second loss they tell all instances; from the third on every instance refuses the request before it claims a turn or a permit, with 502, as it has run. Overlapping losses count once, so that a fault that takes several engines does not stop what many callers ask for. A whole answer clears the count, which is the end of the request; else it lasts 60 s. An attempt that was given up counts if the entry of its engine goes within 10 s without draining.

--- a/src/core/members/groups.rs
+++ b/src/core/members/groups.rs
@@ -34,6 +34,23 @@
     members.into_iter().max_by_key(|member| weight(member))
 }
 
+/// Like [`preferred_member`], for several members: the first, and those that would follow it.
+pub fn preferred_members<'a>(
+    key: &str,
+    count: usize,
+    members: impl IntoIterator<Item = &'a str>,
+) -> Vec<&'a str> {
+    let mut rest: Vec<&str> = members.into_iter().collect();
+    let mut preferred = Vec::new();
+    while preferred.len() < count
+        && let Some(next) = preferred_member(key, rest.iter().copied())
+    {
+        rest.retain(|member| *member != next);
+        preferred.push(next);
+    }
+    preferred
+}
+
 /// Returns the role of `me` where one of `group_size` members does the job for its group.
 pub fn group_role<'a>(
     work: &str,
--- a/src/core/members/mod.rs
+++ b/src/core/members/mod.rs
@@ -6,6 +6,6 @@
 mod message;
 mod table;
 
-pub use groups::{GroupRole, group_role, leaders, preferred_member, tree_role};
+pub use groups::{GroupRole, group_role, leaders, preferred_member, preferred_members, tree_role};
 pub use message::{GossipBody, GossipMessage, MemberInfo, MemberLoad, MemberState};
 pub use table::{MemberAction, MemberSettings, MemberTable};
--- a/src/core/repeats/mod.rs
+++ b/src/core/repeats/mod.rs
@@ -4,9 +4,13 @@
 //! otherwise end one after the other, as its caller comes back and each attempt looks like the first.
 
 mod fingerprint;
+mod losses;
+mod message;
 mod rerun;
 
 pub use fingerprint::{FingerprintFields, RequestFingerprint};
+pub use losses::{LossTable, UpstreamLoss};
+pub use message::{LossMessage, ReportedLoss, ReportedLosses};
 pub use rerun::{RerunCounts, RerunDecision, RerunLimits, SentUpstreams};
 
 /// Upstreams that may be lost one after the other under the same request. Two may be lost by chance.
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -99,6 +99,8 @@
     /// Newest incarnation by id, including upstreams that are no longer listed.
     start_times: BTreeMap<UpstreamId, StartMillis>,
     stale_addresses: Vec<Box<str>>,
+    /// Incarnations that ended without draining since they were last taken.
+    ended: Vec<LoadKey>,
 }
 
 impl UpstreamTable {
@@ -173,6 +175,11 @@
         std::mem::take(&mut self.stale_addresses)
     }
 
+    /// Incarnations that ended without draining since the last call.
+    pub fn take_ended(&mut self) -> Vec<LoadKey> {
+        std::mem::take(&mut self.ended)
+    }
+
     fn prune_start_times(&mut self) {
         if self.start_times.len() > MAX_START_TIMES {
             let listed = &self.upstreams;
@@ -199,6 +206,9 @@
 
     fn forget(&mut self, id: &str) -> Option<TrackedUpstream> {
         let former = self.upstreams.remove(id)?;
+        if former.entry.state == UpstreamState::Ready {
+            self.ended.push(former.load_key);
+        }
         self.index.remove(&former.entry);
         self.recent.remove(id);
         Some(former)
--- a/src/gateway/attempt/guard.rs
+++ b/src/gateway/attempt/guard.rs
@@ -8,8 +8,9 @@
 
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::load::LoadKey;
+use crate::core::repeats::{RequestFingerprint, UpstreamLoss};
 use crate::core::routing::{RouteKind, ServiceName};
-use crate::core::upstreams::{AttemptResult, AttemptTiming, UpstreamChoice};
+use crate::core::upstreams::{AttemptResult, AttemptTiming, UpstreamChoice, UpstreamIncarnation};
 use crate::gateway::call::CallContext;
 use crate::gateway::{Gateway, GatewayMechanism};
 
@@ -34,6 +35,11 @@
     prefill_ms: f64,
     first_byte_received: Cell<bool>,
     result: Cell<AttemptResult>,
+    incarnation: UpstreamIncarnation,
+    incarnation_key: LoadKey,
+    fingerprint: RequestFingerprint,
+    /// None until the request was sent.
+    sent_at: Cell<Option<Instant>>,
 }
 
 impl AttemptGuard {
@@ -62,9 +68,17 @@
             prefill_ms: choice.prefill_ms,
             first_byte_received: Cell::new(false),
             result: Cell::new(AttemptResult::Abandoned),
+            incarnation: choice.incarnation(),
+            incarnation_key: choice.load_key,
+            fingerprint: call.fingerprint,
+            sent_at: Cell::new(None),
         }
     }
 
+    pub(super) fn record_sent(&self) {
+        self.sent_at.set(Some(Instant::now()));
+    }
+
     pub(crate) fn record_first_byte(&self) {
         if self.first_byte_at.get().is_none() {
             self.first_byte_at.set(Some(Instant::now()));
@@ -116,6 +130,20 @@
         upstreams.observe_timing(&self.upstream, self.started_at, &timing, now);
     }
 
+    /// An upstream that ends silently is known to have ended only when its entry is gone, after the
+    /// caller has given up.
+    fn watch_abandoned(&self) {
+        let Some(sent_at) = self.sent_at.get() else { return };
+        let loss =
+            UpstreamLoss { upstream: self.incarnation_key, sent_at, lost_at: Instant::now() };
+        let losses = &self.gateway.losses;
+        if self.gateway.is_listed(&self.incarnation) {
+            losses.watch(self.fingerprint, self.service.clone(), loss);
+        } else {
+            losses.record(self.fingerprint, &self.service, loss);
+        }
+    }
+
     fn report_load_end(&self) {
         if let Some(key) = self.load_key.take() {
             self.gateway.load.ended(key, self.first_byte_at.get().is_none());
@@ -126,6 +154,9 @@
 impl Drop for AttemptGuard {
     fn drop(&mut self) {
         self.report_load_end();
+        if self.result.get() == AttemptResult::Abandoned {
+            self.watch_abandoned();
+        }
         if self.result.get() == AttemptResult::Abandoned
             && let Some(waited) = self.take_queue_wait()
         {
--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -138,6 +138,7 @@
                 tried.retain(|id| progress.sent.borrow().contains(id));
                 continue;
             };
+            self.check_losses(call)?;
             self.check_start(call, &choice, progress)?;
             self.check_retry(call, progress)?;
             progress.tries.set(progress.tries.get() + 1);
@@ -303,6 +304,7 @@
             AttemptError::NotRun(AttemptResult::Unreachable)
         })?;
         let sent_at = Instant::now();
+        guard.record_sent();
         let head = self.attempt_head(call, choice, progress);
         progress.maybe_running.set(true);
         let waited = progress.sent_after.get().unwrap_or_else(|| call.arrived.elapsed());
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -188,6 +188,9 @@
         progress: &AttemptProgress,
         writer: &mut CallerWriter,
     ) -> CallEnd {
+        if let Err(refusal) = self.check_losses(call) {
+            return self.end_refused(&refusal, writer).await;
+        }
         let permit = match self.acquire_permit(call).await {
             Ok(permit) => permit,
             Err(refusal) => return self.end_refused(&refusal, writer).await,
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -225,6 +225,7 @@
                 return CallEnd::aborted("turn_not_kept", Some(upstream));
             }
         }
+        self.losses.record_answered(call.fingerprint);
         let keep_alive =
             writer.finish().await.is_ok() && writer.keeps_alive() && !self.is_draining();
         CallEnd {
--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -26,6 +26,7 @@
 use super::rows::{RowVersion, StoredRow};
 use super::store::StoreLink;
 use crate::core::ids::UpstreamId;
+use crate::core::load::LoadKey;
 use crate::core::quotas::QuotaLimit;
 use crate::core::routing::{RouteTable, TableVersion, TableView, UpdateOutcome};
 use crate::core::upstreams::{UpstreamEntry, UpstreamTable, UpstreamUpdate};
@@ -37,6 +38,11 @@
 /// route is denied. It is shorter than the time in which a new route must be in force.
 const FRESH_ROUTES_MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// Is told of upstreams that ended without having announced it.
+pub(crate) trait UpstreamListener {
+    fn upstreams_ended(self: Rc<Self>, ended: &[LoadKey]);
+}
+
 pub(crate) struct ChangeFeed {
     store: Rc<StoreLink>,
     pool: Rc<ConnectionPool>,
@@ -62,6 +68,7 @@
     reader_changed: Notify,
     /// Serializes reads of the routes, so that waiting callers share one.
     refresh: Mutex<()>,
+    upstream_listener: RefCell<Option<Rc<dyn UpstreamListener>>>,
 }
 
 impl ChangeFeed {
@@ -89,9 +96,14 @@
             readers,
             reader_changed: Notify::new(),
             refresh: Mutex::new(()),
+            upstream_listener: RefCell::default(),
         }
     }
 
+    pub(crate) fn set_upstream_listener(&self, listener: Rc<dyn UpstreamListener>) {
+        *self.upstream_listener.borrow_mut() = Some(listener);
+    }
+
     pub(crate) fn routes(&self) -> Option<Rc<RouteTable>> {
         self.routes.borrow().current()
     }
@@ -213,7 +225,7 @@
         *self.last_entries.borrow_mut() = listed.collect();
         let mut upstreams = self.upstreams.borrow_mut();
         upstreams.replace(entries, Instant::now());
-        self.close_stale_connections(&mut upstreams);
+        self.handle_ended(&mut upstreams);
         self.upstreams_loaded.set(true);
         self.upstream_log.borrow_mut().replace(rows, head, requested);
         self.changed.notify_waiters();
@@ -225,10 +237,10 @@
         for row in rows {
             self.update_upstream(&mut upstreams, row, now);
         }
-        self.close_stale_connections(&mut upstreams);
         for upstream in upstreams.expire(now) {
             log::info!("event=upstream_changed upstream={upstream} state=lapsed");
         }
+        self.handle_ended(&mut upstreams);
         self.upstream_log.borrow_mut().advance(head, requested);
     }
 
@@ -286,10 +298,15 @@
         None
     }
 
-    fn close_stale_connections(&self, upstreams: &mut UpstreamTable) {
+    fn handle_ended(&self, upstreams: &mut UpstreamTable) {
         for address in upstreams.take_stale_addresses() {
             self.pool.close_idle(&address);
         }
+        let ended = upstreams.take_ended();
+        let listener = self.upstream_listener.borrow().clone();
+        if let Some(listener) = listener.filter(|_| !ended.is_empty()) {
+            listener.upstreams_ended(&ended);
+        }
     }
 }
 
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -18,6 +18,7 @@
     GossipMessage, MemberAction, MemberInfo, MemberLoad, MemberSettings, MemberState, MemberTable,
     preferred_member,
 };
+use crate::core::repeats::LossMessage;
 use crate::core::timeline::CausalClock;
 use crate::core::turns::{CoordinatorSpan, ProgramName, coordinator, coordinators};
 use crate::node::peers::{decode_gossip, encode_gossip};
@@ -56,6 +57,7 @@
     span: Cell<CoordinatorSpan>,
     quota_listener: RefCell<Option<Rc<dyn QuotaListener>>>,
     load_listener: RefCell<Option<Rc<dyn LoadListener>>>,
+    loss_listener: RefCell<Option<Rc<dyn LossListener>>>,
 }
 
 /// Receives the quota datagrams, which share the socket of the failure detector.
@@ -69,6 +71,11 @@
     fn receive(&self, from: &str, size: usize, message: LoadMessage);
 }
 
+/// Receives the datagrams on lost upstreams, which share the socket of the failure detector.
+pub(crate) trait LossListener {
+    fn receive(self: Rc<Self>, from: &str, message: LossMessage);
+}
+
 impl MemberView {
     pub(crate) fn new(settings: &GatewaySettings, socket: UdpSocket, seed: u64) -> Self {
         let me = MemberInfo {
@@ -97,6 +104,7 @@
             span: Cell::default(),
             quota_listener: RefCell::default(),
             load_listener: RefCell::default(),
+            loss_listener: RefCell::default(),
         }
     }
 
@@ -112,6 +120,10 @@
         *self.load_listener.borrow_mut() = Some(listener);
     }
 
+    pub(crate) fn set_loss_listener(&self, listener: Rc<dyn LossListener>) {
+        *self.loss_listener.borrow_mut() = Some(listener);
+    }
+
     pub(crate) fn set_config_head(&self, version: ConfigVersion) {
         self.config_head.set(version);
     }
@@ -250,6 +262,10 @@
                 self.handle_load_message(&from.to_string(), size, message);
                 continue;
             }
+            if let Some(message) = LossMessage::decode(&buffer[..size]) {
+                self.handle_loss_message(&from.to_string(), message);
+                continue;
+            }
             match decode_gossip(&buffer[..size]) {
                 Ok(message) => self.handle_gossip(&message),
                 Err(error) => log::warn!("event=gossip_malformed error=\"{error}\""),
@@ -287,7 +303,21 @@
         }
     }
 
-    /// Others could report any load, or have summaries sent to an address that did not ask for them.
+    fn handle_loss_message(&self, from: &str, message: Result<LossMessage, postcard::Error>) {
+        match message {
+            Ok(_) if !self.is_member_address(from) => {
+                log::debug!("event=loss_sender_unknown from={from}");
+            }
+            Ok(message) => {
+                let listener = self.loss_listener.borrow().clone();
+                listener.into_iter().for_each(|listener| listener.receive(from, message.clone()));
+            }
+            Err(error) => log::warn!("event=loss_malformed from={from} error=\"{error}\""),
+        }
+    }
+
+    /// Others could report any load or loss, or have summaries sent to an address that did not ask for
+    /// them.
     fn is_member_address(&self, from: &str) -> bool {
         let table = self.table.borrow();
         let mut known = table.iter().filter(|member| member.state != MemberState::Dead);
--- a/src/gateway/members/roles.rs
+++ b/src/gateway/members/roles.rs
@@ -8,16 +8,19 @@
 use super::{MemberView, is_ready};
 use crate::core::load::LoadSender;
 use crate::core::members::{
-    GroupRole, MemberInfo, MemberState, group_role, preferred_member, tree_role,
+    GroupRole, MemberInfo, MemberState, group_role, preferred_member, preferred_members, tree_role,
 };
 use crate::core::quotas::{LimiterStatus, QuotaMember};
 use crate::gateway::feed::FeedReaders;
 use crate::gateway::load::{LoadMember, LoadPeers, LoadRoles};
 use crate::gateway::quotas::QuotaPeers;
+use crate::gateway::repeats::{LossKeepers, LossPeers};
 use crate::gateway::store::RelayPeers;
 
 /// Key by which the members of a zone are ranked as its load aggregator.
 const LOAD_KEY: &str = "load";
+/// Members that count the upstreams lost under a request; the count outlives any one of them.
+const LOSS_KEEPERS: usize = 2;
 /// Instances per leader of the change feed.
 const READER_SPAN: usize = 16;
 /// Leaders of a zone that read from the store; further leaders follow one of these. What the store
@@ -135,6 +138,36 @@
     }
 }
 
+impl LossPeers for MemberView {
+    fn loss_keepers(&self, key: &str) -> LossKeepers {
+        let table = self.table.borrow();
+        let me = &table.me().instance;
+        let ready = table.iter().filter(|member| is_ready(member));
+        let names = ready.map(|member| &*member.instance);
+        let keepers = preferred_members(key, LOSS_KEEPERS, names);
+        let others = table
+            .iter()
+            .filter(|member| member.instance != *me && keepers.contains(&&*member.instance));
+        LossKeepers {
+            is_me: keepers.contains(&&**me),
+            others: others.map(|member| member.gossip_address.clone()).collect(),
+        }
+    }
+
+    fn loss_recipients(&self) -> Vec<Box<str>> {
+        let table = self.table.borrow();
+        let me = &table.me().instance;
+        let others = table
+            .iter()
+            .filter(|member| member.state != MemberState::Dead && member.instance != *me);
+        others.map(|member| member.gossip_address.clone()).collect()
+    }
+
+    fn send_loss(&self, to: &str, datagram: &[u8]) {
+        self.send_datagram(to, datagram);
+    }
+}
+
 fn load_aggregator<'a>(
     members: impl IntoIterator<Item = &'a MemberInfo>,
 ) -> Option<&'a MemberInfo> {
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -73,6 +73,19 @@
     }
 }
 
+/// Upstreams lost under requests.
+pub(crate) struct LossMeter {
+    losses: Counter<u64>,
+}
+
+impl LossMeter {
+    /// `count` is the number of upstreams lost under the same request.
+    pub(crate) fn record_loss(&self, service: &str, count: usize) {
+        let service = KeyValue::new("service", service.to_owned());
+        self.losses.add(1, &[service, KeyValue::new("count", count.to_string())]);
+    }
+}
+
 /// Load of a service over all instances.
 pub(crate) struct ServiceSample {
     pub(crate) service: ServiceName,
@@ -108,6 +121,8 @@
     pub(crate) load_age: Option<Duration>,
     /// Instances whose load is known.
     pub(crate) load_reporters: u64,
+    /// Requests under which upstreams were lost.
+    pub(crate) loss_records: u64,
     /// Services whose load is known.
     pub(crate) services: Vec<ServiceSample>,
 }
@@ -117,6 +132,8 @@
     calls: Counter<u64>,
     retries: Counter<u64>,
     refusals: Counter<u64>,
+    stopped: Counter<u64>,
+    loss_records: Gauge<u64>,
     call_seconds: Histogram<f64>,
     first_byte_seconds: Histogram<f64>,
     added_seconds: Histogram<f64>,
@@ -155,6 +172,8 @@
             calls: meter.u64_counter("gateway_calls").build(),
             retries: meter.u64_counter("gateway_retries").build(),
             refusals: meter.u64_counter("gateway_refusals").build(),
+            stopped: meter.u64_counter("gateway_stopped_requests").build(),
+            loss_records: meter.u64_gauge("gateway_loss_records").build(),
             call_seconds: histogram("gateway_call_seconds"),
             first_byte_seconds: histogram("gateway_first_byte_seconds"),
             added_seconds: histogram("gateway_added_seconds"),
@@ -203,6 +222,11 @@
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Records a request that was not sent, as upstreams were lost under it.
+    pub(crate) fn record_stopped(&self, service: &str) {
+        self.stopped.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
     /// Records whether a new program was admitted.
     pub(crate) fn record_program(&self, service: &str, priority: u8, outcome: &'static str) {
         let [service, priority] = program_labels(service, priority);
@@ -244,6 +268,11 @@
         }
     }
 
+    pub(crate) fn loss_meter(&self) -> LossMeter {
+        let losses = self.exposition.meter(SCOPE).u64_counter("gateway_lost_upstreams").build();
+        LossMeter { losses }
+    }
+
     pub(crate) fn load_meter(&self) -> LoadMeter {
         let meter = self.exposition.meter(SCOPE);
         LoadMeter {
@@ -267,6 +296,7 @@
             self.load_age_seconds.record(age.as_secs_f64(), &[]);
         }
         self.load_reporters.record(sample.load_reporters, &[]);
+        self.loss_records.record(sample.loss_records, &[]);
         for ServiceSample { service, pressure } in &sample.services {
             let label = [KeyValue::new("service", service.to_string())];
             self.service_in_flight.record(pressure.running.into(), &label);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -43,6 +43,7 @@
 use metrics::{GatewayMetrics, GatewaySample, ServiceSample};
 use quotas::QuotaEnforcer;
 use readiness::AdvertisedReadiness;
+use repeats::LossExchange;
 use stop::StopState;
 use store::StoreLink;
 use turns::TurnManager;
@@ -69,6 +70,7 @@
     pub(crate) admission: RefCell<ProgramAdmission>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) load: Rc<SharedLoad>,
+    pub(crate) losses: Rc<LossExchange>,
     pub(crate) open_calls: Cell<u32>,
     pub(crate) calls_ended: Notify,
 }
@@ -118,6 +120,7 @@
             store_outage: self.store.outage().unwrap_or_default(),
             load_age: self.load.view.borrow().age(Instant::now()),
             load_reporters: self.load.reporters().into(),
+            loss_records: self.losses.record_count() as u64,
             services: self.service_samples(),
         });
     }
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -21,6 +21,7 @@
 use super::metrics::GatewayMetrics;
 use super::quotas::{MemberCounter, MinMembers, QuotaClient, QuotaEnforcer, ShareEnforcer};
 use super::readiness::AdvertisedReadiness;
+use super::repeats::LossExchange;
 use super::server::serve_callers;
 use super::settings::{GatewayMechanism, GatewaySettings, QuotaMode};
 use super::stop::StopState;
@@ -129,6 +130,9 @@
         members.set_load_listener(load.clone());
         actix_rt::spawn(load.clone().run());
     }
+    let losses = Rc::new(LossExchange::new(members.clone(), metrics.loss_meter()));
+    members.set_loss_listener(losses.clone());
+    feed.set_upstream_listener(losses.clone());
     let row_bytes = settings.store_row_bytes;
     let turns =
         TurnManager::new(store.clone(), committer.clone(), pool.clone(), cache_bytes, row_bytes);
@@ -149,6 +153,7 @@
         admission: RefCell::default(),
         retries: RefCell::default(),
         load: load.clone(),
+        losses,
         open_calls: Cell::new(0),
         calls_ended: Notify::new(),
     });
@@ -216,6 +221,7 @@
         loop {
             self.update_readiness();
             self.pool.prune();
+            self.losses.prune();
             let changes = self.members.changes();
             if std::mem::replace(&mut seen_changes, changes) != changes || self.is_draining() {
                 self.turns.release_reassigned_allowances(|programs| {
