Stop model calls under which three engines restarted (serve)

Callers saw: a model call submitted five times after its engine restarted under it got to engines 15 times. The engines that a submission excludes are forgotten with it, so each submission begins with all of them. Change: an engine that does not know an attempt it had accepted has restarted under the call; the cancellation that settles the attempt's cost tells so. Three such losses under one call end it as unknown and not retryable; its number stays free for another input. A submission goes to three engines at the most, where it went to four, as a restart is known only after the next engine has the call. Evidence: resubmitted_call_loses_at_most_three_engines failed with 15 and passes; a call that lost two engines is answered. All tests: 713 passed, 0 failed.

--- a/src/node/calls/model.rs
+++ b/src/node/calls/model.rs
@@ -11,16 +11,20 @@
 use crate::core::budget::{Reservation, ReserveOutcome};
 use crate::core::cache::PrefixKey;
 use crate::core::history::JournalRecord;
-use crate::core::ids::{Incarnation, ProgramId, RequestId, Tokens, UpstreamId, shard_of};
+use crate::core::ids::{
+    Incarnation, ProgramId, RequestId, Tokens, UpstreamId, format_program_id, shard_of,
+};
 use crate::core::outcome::{
     CallAnswer, CallOutcome, CallRefusal, RefusalReason, TokenUsage, UnknownCall,
 };
 use crate::core::ownership::ShardPhase;
+use crate::core::repeats::{FingerprintFields, MAX_LOSSES, RequestFingerprint, UpstreamLoss};
 use crate::node::engines::{EnginePermit, SlotNeed};
 use crate::node::instance::Node;
 use crate::node::upstream::{EngineEvent, GenerateRequest, UpstreamError};
 
-const MAX_ATTEMPTS: usize = 4;
+/// Not more than may be lost under one call, as the restart of an engine is known only after it.
+const MAX_ATTEMPTS: usize = MAX_LOSSES;
 /// Extends the deadline of a preempted call, whose caller already has part of the answer.
 const RESUME_TIMEOUT: Duration = Duration::from_secs(300);
 const ENGINE_RETRY_DELAY: Duration = Duration::from_secs(1);
@@ -36,6 +40,24 @@
     Preempted,
 }
 
+/// Cost of a cancelled attempt.
+struct AttemptCost {
+    tokens: Tokens,
+    /// The engine does not know the attempt, so all that was reserved counts.
+    is_unknown: bool,
+}
+
+/// An attempt whose engine may have been lost under it.
+struct LostCall {
+    fingerprint: RequestFingerprint,
+    program: ProgramId,
+    engine: UpstreamId,
+    /// Tells the attempts of a call apart; a restart keeps the engine's id.
+    attempt: u32,
+    sent_at: Instant,
+    lost_at: Instant,
+}
+
 struct ModelCall<'a> {
     node: &'a Rc<Node>,
     context: &'a CallContext,
@@ -47,6 +69,9 @@
     deadline: Instant,
     /// The engine has accepted the current attempt.
     accepted: bool,
+    /// When the current attempt was sent.
+    sent_at: Instant,
+    fingerprint: RequestFingerprint,
     /// Any engine may have received a byte of the call; its outcome can't be `NotRun` then.
     maybe_sent: bool,
     failed_costs: Vec<JournalRecord>,
@@ -73,14 +98,15 @@
             received_tokens: 0,
             deadline: context.deadline,
             accepted: false,
+            sent_at: Instant::now(),
+            fingerprint: fingerprint(context),
             maybe_sent: false,
             failed_costs: Vec::new(),
         };
         run.run().await
     }
 
-    /// Cancels an attempt, settles its reservation with the cost the engine reports, and returns
-    /// that cost.
+    /// Cancels an attempt and settles its reservation with the cost the engine reports.
     ///
     /// The full reservation is spent if the engine does not know the request, as after a restart,
     /// or stays unreachable until the attempt must have ended.
@@ -89,19 +115,35 @@
         reservation: Reservation,
         address: Box<str>,
         request: RequestId,
-    ) -> Tokens {
+    ) -> AttemptCost {
         let mut used = reservation.tokens;
+        let mut is_unknown = false;
         let deadline = Instant::now() + SETTLE_TIMEOUT;
         while Instant::now() < deadline {
             let cancel = self.engines.cancel(&address, &request);
             if let Ok(Ok(usage)) = timeout(CANCEL_TIMEOUT, cancel).await {
+                is_unknown = usage.is_none();
                 used = usage.map_or(used, |usage| usage.billed());
                 break;
             }
             sleep(CANCEL_RETRY_DELAY).await;
         }
         self.settle(reservation, used);
-        used
+        AttemptCost { tokens: used, is_unknown }
+    }
+
+    /// An engine that does not know an attempt it accepted has restarted under the call.
+    fn record_loss(&self, call: &LostCall) {
+        let now = Instant::now();
+        let loss =
+            UpstreamLoss { upstream: call.attempt, sent_at: call.sent_at, lost_at: call.lost_at };
+        self.losses.borrow_mut().record(call.fingerprint, loss, now);
+        let lost = self.losses.borrow().count(call.fingerprint, now);
+        self.event("engine_lost")
+            .program(call.program)
+            .upstream(&call.engine)
+            .detail(format!("fingerprint={} lost={lost}", call.fingerprint))
+            .log();
     }
 
     /// Adds a failed attempt's cost to its program's usage, if the program is still served here.
@@ -128,6 +170,10 @@
                 // The program has a new owner, which runs the call if it is retried.
                 break;
             }
+            let lost = self.node.losses.borrow().count(self.fingerprint, Instant::now());
+            if lost >= MAX_LOSSES {
+                return self.into_stopped(lost);
+            }
             let reservation = match self.reserve().await {
                 Ok(reservation) => reservation,
                 Err(refusal) => return self.into_failure(refusal),
@@ -234,6 +280,7 @@
         reservation: &Reservation,
     ) -> AttemptOutcome {
         self.accepted = false;
+        self.sent_at = Instant::now();
         let request = GenerateRequest {
             request_id: self.attempt_id(reservation),
             incarnation: reservation.incarnation,
@@ -303,14 +350,27 @@
         self.failed_costs.push(unpriced);
         let (address, request_id) = (permit.address().into(), self.attempt_id(&reservation));
         let node = self.node.clone();
+        let lost = LostCall {
+            fingerprint: self.fingerprint,
+            program,
+            engine: upstream.clone(),
+            attempt: reservation.attempt as u32,
+            sent_at: self.sent_at,
+            lost_at: Instant::now(),
+        };
+        let accepted = self.accepted;
         actix_rt::spawn(async move {
             let incarnation = reservation.incarnation;
-            let tokens = node.cancel_and_settle(reservation, address, request_id).await;
-            node.record_spent(incarnation, program, tokens, upstream).await;
+            let cost = node.cancel_and_settle(reservation, address, request_id).await;
+            if cost.is_unknown && accepted {
+                node.record_loss(&lost);
+            }
+            node.record_spent(incarnation, program, cost.tokens, upstream).await;
         });
     }
 
     fn into_answer(self, engine: UpstreamId, usage: TokenUsage) -> CallConclusion {
+        self.node.losses.borrow_mut().clear(self.fingerprint);
         let text: Box<str> = (*self.call.text()).into();
         let context = self.context;
         let key = PrefixKey::Program(context.request.program);
@@ -326,6 +386,18 @@
         conclusion
     }
 
+    /// Each further engine would probably be lost too.
+    fn into_stopped(self, lost: usize) -> CallConclusion {
+        let message = format!("{lost} engines restarted under the call; no further one gets it");
+        self.node
+            .event("call_stopped")
+            .program(self.context.request.program)
+            .detail(format!("fingerprint={} lost={lost}", self.fingerprint))
+            .log();
+        let outcome = UnknownCall { message: message.into(), retryable: false }.into();
+        CallConclusion { outcome, records: self.failed_costs, is_turn: false }
+    }
+
     fn into_failure(self, refusal: CallRefusal) -> CallConclusion {
         let outcome = if self.maybe_sent {
             let message = "no engine finished the call; the same request id may be sent again";
@@ -337,6 +409,22 @@
     }
 }
 
+/// Also the same for a call that is submitted under another request id.
+fn fingerprint(context: &CallContext) -> RequestFingerprint {
+    let request = &context.request;
+    RequestFingerprint::of(&FingerprintFields {
+        workspace: Some(&context.workspace),
+        program: Some(&format_program_id(request.program)),
+        branch: None,
+        previous: Some(&request.number.to_string()),
+        affinity: None,
+        method: "",
+        host: "",
+        target: &request.target.name(),
+        body: request.input.as_bytes(),
+    })
+}
+
 fn stall_error(limit: Duration) -> UpstreamError {
     UpstreamError::Lost { message: format!("no progress for {} ms", limit.as_millis()).into() }
 }
--- a/src/node/instance.rs
+++ b/src/node/instance.rs
@@ -32,6 +32,7 @@
 use crate::core::members::{MemberInfo, MemberLoad, MemberSettings, MemberState, MemberTable};
 use crate::core::outcome::{CallOutcome, UnknownCall};
 use crate::core::ownership::{IncarnationRow, ShardOwner, ShardTable};
+use crate::core::repeats::LossTable;
 use crate::core::timeline::{CausalClock, CausalStamp, EventRing, TimelineEvent};
 
 /// Settings and dependencies of a node; tests pass fakes.
@@ -93,6 +94,8 @@
     /// Wakes the task that claims and hands over shards.
     pub(crate) ownership_hint: Notify,
     pub(crate) suspects: RefCell<BTreeMap<Incarnation, JournalTail>>,
+    /// Engines that restarted under calls of the programs served here.
+    pub(crate) losses: RefCell<LossTable>,
     pub(crate) program_counter: Cell<u64>,
     pub(crate) draining: Cell<bool>,
     /// Callers' requests in progress, including forwarded ones.
@@ -213,6 +216,7 @@
             config_announcer: RefCell::default(),
             ownership_hint: Notify::new(),
             suspects: RefCell::default(),
+            losses: RefCell::default(),
             program_counter: Cell::new(0),
             draining: Cell::new(false),
             open_requests: Cell::new(0),
