Tell the story of a fingerprint, and test the exchange of losses

The exchange is tested over lost datagrams, a keeper that goes, a cut and answers. call_ended has the fingerprint before the workspace, so that the timeline's search finds it.

--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -17,7 +17,7 @@
     /// Log files of gateways, one or more.
     #[arg(long, num_args = 1.., requires = "story")]
     logs: Vec<PathBuf>,
-    /// The request, turn or program whose story the logs tell.
+    /// The request, turn, program or fingerprint whose story the logs tell.
     #[arg(long, requires = "logs")]
     story: Option<Box<str>>,
     #[command(flatten)]
--- a/src/core/timeline/log_line.rs
+++ b/src/core/timeline/log_line.rs
@@ -46,13 +46,14 @@
 /// State changes this long before a request may still explain its result.
 const LOOKBACK_WINDOW: Duration = Duration::from_secs(3);
 
-/// Returns, in order of time, the lines that name `id` (a request, program or turn) and the state
+/// Returns, in order of time, the lines that name `id` (a request, program, turn or fingerprint) and the state
 /// changes on the same instances that may explain them.
 pub fn select_timeline(lines: impl IntoIterator<Item = LogLine>, id: &str) -> Vec<LogLine> {
     let mut lines: Vec<LogLine> = lines.into_iter().collect();
     lines.sort_by(|a, b| (a.time, &a.instance).cmp(&(b.time, &b.instance)));
     let names_id = |line: &LogLine| {
-        ["request", "program", "turn"].iter().any(|name| line.field(name) == Some(id))
+        let names = ["request", "program", "turn", "fingerprint"];
+        names.iter().any(|name| line.field(name) == Some(id))
     };
     let own: Vec<&LogLine> = lines.iter().filter(|line| names_id(line)).collect();
     let (Some(first), Some(last)) = (own.first(), own.last()) else { return Vec::new() };
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -132,7 +132,7 @@
         log::info!(
             "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
              upstream={} tries={} runs={} coordinator={} claimed_ms={} sent_ms={} first_ms={} \
-             ms={} workspace={} fingerprint={}",
+             ms={} fingerprint={} workspace={}",
             call.id,
             call.program_name(),
             call.route.name,
@@ -147,8 +147,8 @@
             progress.sent_after.get().map_or(0, |waited| waited.as_millis()),
             end.first_byte_after.map_or(0, |waited| waited.as_millis()),
             elapsed.as_millis(),
-            call.workspace_name(),
             call.fingerprint,
+            call.workspace_name(),
         );
     }
 
--- a/src/gateway/repeats/mod.rs
+++ b/src/gateway/repeats/mod.rs
@@ -5,6 +5,8 @@
 //! takes many requests at once costs one report each.
 
 mod decision;
+#[cfg(test)]
+mod exchange_tests;
 
 use std::cell::RefCell;
 use std::rc::Rc;
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -10,7 +10,7 @@
 use std::thread;
 use std::time::Duration;
 
-use platform_standin::engine::EngineAct;
+use platform_standin::engine::{DeadlyRequests, EngineAct, EngineLoss};
 use platform_standin::http::{RawMessage, Wire};
 use platform_standin::store::StoreFault;
 use platform_standin::{Deployment, budgeted_turn, call, from, keyed, limited, wait_until};
@@ -181,6 +181,41 @@
     assert!(contains_in_order(&timeline, &[cause, end]), "{timeline:#?}");
 }
 
+/// Engines that keep ending must be traceable to the request that ends them: from the count in the
+/// metrics to its fingerprint, and from there to all attempts of its caller.
+#[actix_rt::test]
+async fn ended_engines_are_traced_to_their_request() {
+    let mut deployment = Deployment::start(0, 0).await;
+    deployment.add_registered_engines(5).await;
+    let deadly = DeadlyRequests::new("hi", EngineLoss::Together);
+    deployment.engines.iter().for_each(|engine| engine.lose_on(&deadly));
+    let gateway = GatewayProcess::start("ended_engines", &deployment.store_address).await;
+    for number in 0..4 {
+        assert_eq!(gateway.call(&call("book", &format!("d{number}"))).await.status(), 502);
+    }
+    let metrics = gateway.metrics().await;
+    let third = [r#"service="llm""#, r#"count="3""#];
+    assert!(has_metric(&metrics, "gateway_lost_upstreams_total{", &third, "1"), "{metrics}");
+    assert!(has_metric(&metrics, "gateway_stopped_requests_total{", &third[..1], "1"), "{metrics}");
+    assert!(has_metric(&metrics, "gateway_loss_records{", &[], "1"), "{metrics}");
+
+    wait_until("the stop is logged", async || gateway.log().contains("request=d3 ")).await;
+    let log = gateway.log();
+    let last =
+        log.lines().find(|line| line.contains("event=upstream_lost") && line.contains("lost=3"));
+    let fields = last.expect("the third loss is logged").split_whitespace();
+    let fingerprint = fields.filter_map(|field| field.strip_prefix("fingerprint=")).next();
+    let timeline = gateway.timeline(fingerprint.expect("it names its request")).await;
+    let story = [
+        "event=upstream_lost request=d0 program=- service=llm upstream=r",
+        "event=upstream_lost request=d1 program=- service=llm upstream=r",
+        "event=upstream_lost request=d2 program=- service=llm upstream=r",
+        "event=request_stopped request=d3 program=- route=book service=llm",
+        "event=call_ended request=d3 program=- route=book kind=at_most_once outcome=upstreams_lost",
+    ];
+    assert!(contains_in_order(&timeline, &story), "{timeline:#?}");
+}
+
 /// The log must distinguish an exhausted budget, with its figures, from an unknown previous turn.
 #[actix_rt::test]
 async fn rejected_turn_is_traced_to_its_budget_or_unknown_previous_turn() {
