--- a/src/gateway/repeats/exchange_tests.rs
+++ b/src/gateway/repeats/exchange_tests.rs
@@ -18,13 +18,16 @@
 /// A report and what the keeper tells of it may each arrive only when they are sent again.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
+/// Sender and recipient.
+type NetworkLink = (Box<str>, Box<str>);
+
 /// Delivers datagrams at once, except those that it drops.
 #[derive(Default)]
 struct LossNetwork {
     exchanges: RefCell<BTreeMap<Box<str>, Rc<LossExchange>>>,
     /// Each first, third, fifth ... datagram between two instances is lost.
     drops_first: Cell<bool>,
-    sent: RefCell<BTreeMap<(Box<str>, Box<str>), usize>>,
+    sent: RefCell<BTreeMap<NetworkLink, usize>>,
     /// Instances that neither send nor receive.
     cut: RefCell<Vec<Box<str>>>,
 }
