Tell all instances of a repeated loss from where it happened

A caller that comes back at once raced the datagrams: the report to a keeper, and what the keeper tells. Now the instance that lost the upstream tells all itself if it knows of the earlier loss; the keepers go on to tell, for what the sender did not know and for instances it cannot reach. A repeated loss costs 6 instead of 4 datagrams an instance. Evidence: instance_that_lost_three_upstreams_tells_all_at_once fails without it.

--- a/src/gateway/repeats/exchange_tests.rs
+++ b/src/gateway/repeats/exchange_tests.rs
@@ -30,6 +30,8 @@
     sent: RefCell<BTreeMap<NetworkLink, usize>>,
     /// Instances that neither send nor receive.
     cut: RefCell<Vec<Box<str>>>,
+    /// Instances that do not send.
+    silent: RefCell<Vec<Box<str>>>,
 }
 
 struct NetworkPeer {
@@ -62,7 +64,8 @@
             *count
         };
         let cut = network.cut.borrow();
-        let is_cut = cut.iter().any(|name| **name == *to || *name == self.name);
+        let is_cut = cut.iter().any(|name| **name == *to || *name == self.name)
+            || network.silent.borrow().contains(&self.name);
         if is_cut || network.drops_first.get() && count % 2 == 1 {
             return;
         }
@@ -208,3 +211,21 @@
     network.lose(4, fingerprint, 3).await;
     assert_eq!(network.counts(fingerprint), [MAX_LOSSES; 6]);
 }
+
+/// Guards against a caller that is back before a keeper has told of the last loss.
+#[actix_rt::test]
+async fn instance_that_lost_three_upstreams_tells_all_at_once() {
+    tokio::time::pause();
+    let network = LossNetwork::start(6);
+    let fingerprint = fingerprint("p");
+    network.lose(0, fingerprint, 1).await;
+    network.lose(0, fingerprint, 2).await;
+    let loss = UpstreamLoss { upstream: 3, sent_at: Instant::now(), lost_at: Instant::now() };
+    let name = network.exchanges.borrow().keys().next().expect("the first").clone();
+    // The keepers tell nobody.
+    let others =
+        network.exchanges.borrow().keys().filter(|other| **other != name).cloned().collect();
+    network.silent.replace(others);
+    network.exchange(0).record(fingerprint, SERVICE, loss);
+    assert_eq!(network.counts(fingerprint), [MAX_LOSSES; 6]);
+}
--- a/src/gateway/repeats/mod.rs
+++ b/src/gateway/repeats/mod.rs
@@ -1,8 +1,9 @@
 //! Shares with the other instances under which requests upstreams were lost.
 //!
-//! Each fingerprint has two keepers among the members. All losses are reported to them; only if a
-//! second upstream is lost under the same request do they tell all instances, so that a failure that
-//! takes many requests at once costs one report each.
+//! Each fingerprint has two keepers among the members, to whom all losses are reported. All instances
+//! are told only if a second upstream is lost under the same request, by the keepers and, ahead of a
+//! caller that comes back at once, by the instance that lost it. So a failure that takes many requests
+//! at once costs one report each.
 
 mod decision;
 #[cfg(test)]
@@ -89,10 +90,8 @@
         if let Some(count) = raised {
             self.meter.record_loss(service, count);
         }
-        let keepers = self.send(fingerprint, LossAudience::Keepers);
-        if keepers.is_me {
-            self.share_repeated(fingerprint, raised);
-        }
+        self.send(fingerprint, LossAudience::Keepers);
+        self.share_repeated(fingerprint, raised);
         self.count(fingerprint)
     }
 
@@ -118,7 +117,7 @@
         }
     }
 
-    /// As a keeper, tells all instances of losses that have become more.
+    /// Tells all instances of losses that have become more.
     fn share_repeated(self: &Rc<Self>, fingerprint: RequestFingerprint, raised: Option<usize>) {
         if raised.is_some_and(|count| count >= MIN_SHARED_LOSSES) {
             self.send(fingerprint, LossAudience::All);
@@ -132,15 +131,10 @@
         }
     }
 
-    /// Sends what is known of the fingerprint. Returns its keepers.
-    fn send(
-        self: &Rc<Self>,
-        fingerprint: RequestFingerprint,
-        audience: LossAudience,
-    ) -> LossKeepers {
-        let mut keepers = self.peers.loss_keepers(&fingerprint.to_string());
+    /// Sends what is known of the fingerprint.
+    fn send(self: &Rc<Self>, fingerprint: RequestFingerprint, audience: LossAudience) {
         let to = match audience {
-            LossAudience::Keepers => std::mem::take(&mut keepers.others),
+            LossAudience::Keepers => self.peers.loss_keepers(&fingerprint.to_string()).others,
             LossAudience::All => self.peers.loss_recipients(),
         };
         let exchange = self.clone();
@@ -157,7 +151,6 @@
                 LossAudience::All => LossMessage::Repeated(reported),
             })
         });
-        keepers
     }
 
     /// `message` is made anew for the second time, as it tells ages.
@@ -196,6 +189,7 @@
     fn receive(self: Rc<Self>, from: &str, message: LossMessage) {
         match message {
             LossMessage::Lost(reported) => {
+                // The sender may know too few losses to tell all, or be cut off from some of them.
                 let raised = self.accept(&reported);
                 self.share_repeated(reported.fingerprint, raised);
             }
