Let the test of a repeated loss fail without what it tests

Now it is none, and with the telling left to keepers the test fails ([3, 3, 3, 2, 2, 2] instead of three everywhere).

--- a/src/gateway/repeats/exchange_tests.rs
+++ b/src/gateway/repeats/exchange_tests.rs
@@ -15,6 +15,7 @@
 use crate::gateway::metrics::GatewayMetrics;
 
 const SERVICE: &str = "llm";
+const LOSS_KEEPERS: usize = 2;
 /// A report and what the keeper tells of it may each arrive only when they are sent again.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
@@ -42,7 +43,7 @@
 impl LossPeers for NetworkPeer {
     fn loss_keepers(&self, key: &str) -> LossKeepers {
         let exchanges = self.network.exchanges.borrow();
-        let keepers = preferred_members(key, 2, exchanges.keys().map(|name| &**name));
+        let keepers = preferred_members(key, LOSS_KEEPERS, exchanges.keys().map(|name| &**name));
         let others = keepers.iter().filter(|keeper| **keeper != &*self.name);
         LossKeepers {
             is_me: keepers.contains(&&*self.name),
@@ -166,7 +167,7 @@
     let fingerprint = fingerprint("p");
     let names: Vec<Box<str>> = network.exchanges.borrow().keys().cloned().collect();
     let key = fingerprint.to_string();
-    let keepers = preferred_members(&key, 2, names.iter().map(|name| &**name));
+    let keepers = preferred_members(&key, LOSS_KEEPERS, names.iter().map(|name| &**name));
     let others: Vec<usize> = (0..6).filter(|number| !keepers.contains(&&*names[*number])).collect();
     network.lose(others[0], fingerprint, 1).await;
     network.exchanges.borrow_mut().remove(keepers[0]);
@@ -218,14 +219,15 @@
     tokio::time::pause();
     let network = LossNetwork::start(6);
     let fingerprint = fingerprint("p");
-    network.lose(0, fingerprint, 1).await;
-    network.lose(0, fingerprint, 2).await;
-    let loss = UpstreamLoss { upstream: 3, sent_at: Instant::now(), lost_at: Instant::now() };
-    let name = network.exchanges.borrow().keys().next().expect("the first").clone();
+    let names: Vec<Box<str>> = network.exchanges.borrow().keys().cloned().collect();
+    let keepers =
+        preferred_members(&fingerprint.to_string(), LOSS_KEEPERS, names.iter().map(|name| &**name));
+    let loser = (0..6).find(|number| !keepers.contains(&&*names[*number])).expect("four are none");
+    network.lose(loser, fingerprint, 1).await;
+    network.lose(loser, fingerprint, 2).await;
     // The keepers tell nobody.
-    let others =
-        network.exchanges.borrow().keys().filter(|other| **other != name).cloned().collect();
-    network.silent.replace(others);
-    network.exchange(0).record(fingerprint, SERVICE, loss);
+    network.silent.replace(keepers.into_iter().map(Into::into).collect());
+    let loss = UpstreamLoss { upstream: 3, sent_at: Instant::now(), lost_at: Instant::now() };
+    network.exchange(loser).record(fingerprint, SERVICE, loss);
     assert_eq!(network.counts(fingerprint), [MAX_LOSSES; 6]);
 }
