--- a/src/core/repeats/rerun.rs
+++ b/src/core/repeats/rerun.rs
@@ -62,11 +62,15 @@
     }
 
     pub fn record_lost(&mut self, incarnation: &UpstreamIncarnation) {
-        self.find(incarnation).into_iter().for_each(|sent| sent.is_lost = true);
+        if let Some(sent) = self.find(incarnation) {
+            sent.is_lost = true;
+        }
     }
 
     pub fn record_unreachable(&mut self, incarnation: &UpstreamIncarnation) {
-        self.find(incarnation).into_iter().for_each(|sent| sent.is_unreachable = true);
+        if let Some(sent) = self.find(incarnation) {
+            sent.is_unreachable = true;
+        }
     }
 
     fn find(&mut self, incarnation: &UpstreamIncarnation) -> Option<&mut SentUpstream> {
--- a/src/gateway/attempt/guard.rs
+++ b/src/gateway/attempt/guard.rs
@@ -156,12 +156,10 @@
         self.report_load_end();
         if self.result.get() == AttemptResult::Abandoned {
             self.watch_abandoned();
-        }
-        if self.result.get() == AttemptResult::Abandoned
-            && let Some(waited) = self.take_queue_wait()
-        {
-            let mut gate = self.gateway.gate.borrow_mut();
-            gate.record_abandoned(&self.service, waited, Instant::now());
+            if let Some(waited) = self.take_queue_wait() {
+                let mut gate = self.gateway.gate.borrow_mut();
+                gate.record_abandoned(&self.service, waited, Instant::now());
+            }
         }
         let mut upstreams = self.gateway.feed.upstreams.borrow_mut();
         upstreams.ended(&self.upstream, self.started_at, self.result.get(), Instant::now());
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -310,7 +310,9 @@
             }
             Ok(message) => {
                 let listener = self.loss_listener.borrow().clone();
-                listener.into_iter().for_each(|listener| listener.receive(from, message.clone()));
+                if let Some(listener) = listener {
+                    listener.receive(from, message);
+                }
             }
             Err(error) => log::warn!("event=loss_malformed from={from} error=\"{error}\""),
         }
--- a/src/gateway/repeats/exchange_tests.rs
+++ b/src/gateway/repeats/exchange_tests.rs
@@ -73,7 +73,9 @@
         drop(cut);
         let exchange = network.exchanges.borrow().get(to).cloned();
         let message = LossMessage::decode(datagram).expect("it has the tag").expect("it is valid");
-        exchange.into_iter().for_each(|exchange| exchange.receive(&self.name, message.clone()));
+        if let Some(exchange) = exchange {
+            exchange.receive(&self.name, message);
+        }
     }
 }
 
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -157,7 +157,9 @@
     }
 
     fn stop(&self) {
-        self.state.borrow_mut().process.take().into_iter().for_each(|process| process.abort());
+        if let Some(process) = self.state.borrow_mut().process.take() {
+            process.abort();
+        }
     }
 
     /// The steps of the request under which the engine is lost.
