Let the test of neighbours wait until the new engines are listed

Traced: the test gave the instances 0.4 s to learn of the engines that replace the lost one, but they poll the list each 0.7 s, so there was no upstream yet. Now it waits until each instance serves a call of another program; what it asserts of the neighbours and of the deadly request is unchanged.

--- a/tests/gateway_deadly_requests.rs
+++ b/tests/gateway_deadly_requests.rs
@@ -269,7 +269,12 @@
 
     deployment.add_registered_engines(ENGINES).await;
     deployment.engines.iter().for_each(|engine| engine.lose_on(&deadly));
-    sleep(RETURN_DELAY).await;
+    for gateway in &deployment.gateways {
+        wait_until("the new engines are listed", async || {
+            gateway.call(&request("book", "probe", "hi")).await.status() == 200
+        })
+        .await;
+    }
     for number in 0..NEIGHBOURS {
         let answer = deployment.gateways[number % 2].call(&neighbour("m", number)).await;
         assert_eq!(answer.status(), 200, "neighbour {number}");
