Log lost answers as before; upstream_lost has their fingerprint

The fields program and fingerprint on attempt_unknown and answer_broken stood again on upstream_lost, and their literals over two lines hid names from the check of names that leave the program. The lines are as before; no name is gone.

--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -175,13 +175,10 @@
                 }
                 Err(AttemptError::Unknown(cause)) => {
                     log::warn!(
-                        "event=attempt_unknown request={} upstream={} runs={} cause=\"{cause}\" \
-                         program={} fingerprint={}",
+                        "event=attempt_unknown request={} upstream={} runs={} cause=\"{cause}\"",
                         call.id,
                         choice.id,
-                        progress.runs.get(),
-                        call.program_name(),
-                        call.fingerprint
+                        progress.runs.get()
                     );
                     pinned = self.plan_rerun(call, &choice, tried, progress)?;
                 }
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -158,14 +158,11 @@
         broken.guard.record(AttemptResult::Broken);
         let UpstreamAnswer { choice, connection, guard, sent_at, .. } = broken;
         log::warn!(
-            "event=answer_broken request={} upstream={} sent_ms={} events={} error=\"{error}\" \
-             program={} fingerprint={}",
+            "event=answer_broken request={} upstream={} sent_ms={} events={} error=\"{error}\"",
             call.id,
             choice.id,
             sent_at.elapsed().as_millis(),
-            state.events.events(),
-            call.program_name(),
-            call.fingerprint
+            state.events.events()
         );
         self.record_failure(call, progress, &choice, sent_at, error);
         // Upstreams cancel a request when its connection closes.
