--- a/review/world.rs
+++ b/review/world.rs
@@ -1456,7 +1456,7 @@
 
 /// Conversations of two programs each go on while the store is slow.
 fn slow_store(record: &Record) -> Result<bool, String> {
-    const CONVERSATIONS: usize = 36;
+    const CONVERSATIONS: usize = 44;
     let routes = [route("turn", "stream", "dialogue-llm", RETAINED)];
     let engines = [("dialogue-llm", Work::Stream); 6];
     let world = World::start(record, &manifest(&routes, ""), &engines)?;
