Keep names of callers without a workspace apart from those of workspaces

With `Merlinsaddle-Program-Id: 4:acme/P` it spent the tokens of acme's program, and with a request id of that form it replaced acme's turn in the index of the store and in the memory of an instance.

Cause: `qualified_name` prefixed the names of a workspace's callers, and left those of other callers as they were. Both share rows, cache, ledgers, index and messages between instances, so a caller without a workspace could spell every name of a workspace.

Change: a name of a caller without a workspace that has the form of a workspace's name gets a prefix that no workspace's name begins with. Marked names are marked again, so the mapping stays injective. All other names keep their form, so instances of both releases agree on them.

Related paths, for a rolling update: the release before sends and stores such names unmarked. Turns that the release before stored for such callers are found, and a chain that it let lead into a workspace's history is not continued. A request in which an instance of that release forges both program and turn of a workspace cannot be told from the workspace's own.

--- a/src/core/turns/record.rs
+++ b/src/core/turns/record.rs
@@ -9,6 +9,7 @@
 use super::{ProgramName, TurnId};
 use crate::core::ids::{Tokens, UpstreamId};
 use crate::core::upstreams::StartMillis;
+use crate::core::workspaces::resolved_name;
 use crate::util::framed::{frame, unframe};
 
 /// What a caller sent and what the engine answered; immutable once written.
@@ -82,6 +83,13 @@
         })
     }
 
+    /// Replaces the name of the previous turn by the one that it stands for.
+    pub fn resolve_previous(&mut self, turn: &str) {
+        if let Some(previous) = &mut self.previous {
+            *previous = resolved_name(previous, turn);
+        }
+    }
+
     pub fn bytes(&self) -> usize {
         self.input.len() + self.output.len()
     }
--- a/src/core/workspaces/mod.rs
+++ b/src/core/workspaces/mod.rs
@@ -8,7 +8,7 @@
 use crate::core::ids::WorkspaceId;
 use crate::core::quotas::QuotaLimit;
 
-pub use name::qualified_name;
+pub use name::{qualified_name, resolved_name, unmarked_name};
 pub use table::{InvalidKey, WorkspaceTable};
 
 /// A secret that identifies a workspace. Its `Debug` form is redacted to keep it out of logs, metrics
--- a/src/gateway/sweep.rs
+++ b/src/gateway/sweep.rs
@@ -13,6 +13,7 @@
 use super::turns::{LEDGER_KEY, PROGRAMS_TABLE, index_key, parse_turn_key, row_key};
 use crate::core::ids::InstanceId;
 use crate::core::turns::{DEFAULT_RETENTION, ProgramLedger, ProgramName};
+use crate::core::workspaces::resolved_name;
 use crate::node::platform::StoreError;
 
 /// Leases of jobs that one instance at a time performs.
@@ -174,7 +175,8 @@
             let rows = self.store.range(&range).await?.rows;
             let mut removals: Vec<RowKey> = Vec::new();
             for row in rows.into_iter().filter(|row| row.key != ledger) {
-                removals.extend(parse_turn_key(&row.key.key).map(|(turn, _)| index_key(&turn)));
+                let turn = parse_turn_key(&row.key.key);
+                removals.extend(turn.map(|(turn, _)| index_key(&resolved_name(&turn, program))));
                 removals.push(row.key);
             }
             removals.sort();
--- a/src/gateway/turns/chain.rs
+++ b/src/gateway/turns/chain.rs
@@ -6,6 +6,7 @@
 use super::TurnManager;
 use super::rows::{LEDGER_KEY, PROGRAMS_TABLE, index_key};
 use crate::core::turns::{ChainLookup, ProgramName, TurnId, TurnRecord};
+use crate::core::workspaces::{resolved_name, unmarked_name};
 use crate::gateway::rows::RowRange;
 use crate::node::platform::StoreError;
 
@@ -88,6 +89,18 @@
     }
 
     async fn program_of(&self, turn: &TurnId) -> Result<ProgramName, ChainError> {
+        if let Some(program) = self.indexed_program(turn).await? {
+            return Ok(program);
+        }
+        // Releases that did not mark names indexed the turn under a name of a workspace's form.
+        let unmarked: TurnId = unmarked_name(turn).ok_or(ChainError::NoSuchTurn)?.into();
+        let program = self.indexed_program(&unmarked).await?;
+        let program = program.filter(|program| resolved_name(&unmarked, program) == *turn);
+        program.ok_or(ChainError::NoSuchTurn)
+    }
+
+    /// The program that the index names for a turn.
+    async fn indexed_program(&self, turn: &TurnId) -> Result<Option<ProgramName>, ChainError> {
         let key = index_key(turn);
         let range = RowRange {
             table: key.table.clone(),
@@ -97,8 +110,8 @@
         };
         let reply = self.store.range(&range).await.map_err(ChainError::Store)?;
         let row = reply.rows.into_iter().find(|row| row.key == key);
-        let value = row.and_then(|row| row.value).ok_or(ChainError::NoSuchTurn)?;
-        String::from_utf8(value.to_vec()).map(Into::into).map_err(|_| ChainError::NoSuchTurn)
+        let value = row.and_then(|row| row.value);
+        Ok(value.and_then(|value| String::from_utf8(value.to_vec()).ok()).map(Into::into))
     }
 
     /// Reads the program's ledger without its turns.
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -144,7 +144,7 @@
             decoded.push((turn, TurnRecord::decode(records.slice_ref(record)).ok()?));
         }
         for (turn, record) in decoded {
-            self.cache.borrow_mut().insert(&turn.program, turn.turn, record.into());
+            self.cache_record(&turn.program, &turn.turn, record);
         }
         let mut reservation = self.reservation(&claim.program, &claim.turn);
         reservation.coordinator = Some(peer.into());
--- a/src/gateway/turns/messages.rs
+++ b/src/gateway/turns/messages.rs
@@ -5,6 +5,7 @@
 use super::claim::TurnClaim;
 use crate::core::ids::Tokens;
 use crate::core::turns::{PrefixHolder, ProgramName, TurnId, TurnScope};
+use crate::core::workspaces::resolved_name;
 
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct ClaimRequest {
@@ -61,3 +62,13 @@
     #[serde(default)]
     pub(super) ran_at: Option<PrefixHolder>,
 }
+
+/// Replaces the names of a message by those that they stand for: a peer of a release that does not mark
+/// names sends those of callers without a workspace as they are.
+pub(super) fn resolve_names(program: &mut ProgramName, turn: &mut TurnId) {
+    let names = (resolved_name(program, turn), resolved_name(turn, program));
+    if (&names.0, &names.1) != (&*program, &*turn) {
+        log::info!("event=peer_names_resolved program={program} turn={turn}");
+    }
+    (*program, *turn) = names;
+}
--- a/src/gateway/turns/rows.rs
+++ b/src/gateway/turns/rows.rs
@@ -6,6 +6,7 @@
 
 use super::TurnManager;
 use crate::core::turns::{ProgramLedger, ProgramName, TurnId, TurnRecord, split_value};
+use crate::core::workspaces::resolved_name;
 use crate::gateway::rows::{RowKey, RowTransaction, RowVersion, StoredRow};
 
 /// Each program is a partition of this table.
@@ -73,7 +74,7 @@
                 _ => join(chunks.into_iter().map(|(_, value)| value)),
             };
             match TurnRecord::decode(value) {
-                Ok(record) => self.cache.borrow_mut().insert(program, turn, record.into()),
+                Ok(record) => self.cache_record(program, &turn, record),
                 Err(error) => {
                     log::error!(
                         "event=turn_unreadable program={program} turn={turn} error=\"{error}\""
@@ -83,6 +84,18 @@
         }
     }
 
+    /// Caches a record of the store or of a peer under the name that it stands for.
+    pub(super) fn cache_record(
+        &self,
+        program: &ProgramName,
+        turn: &TurnId,
+        mut record: TurnRecord,
+    ) {
+        let turn = resolved_name(turn, program);
+        record.resolve_previous(&turn);
+        self.cache.borrow_mut().insert(program, turn, record.into());
+    }
+
     /// Caches the ledger reported by a conflict; true if the stored ledger was removed.
     ///
     /// The cached turns of a removed program are dropped: continuing from them would store a turn
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -8,9 +8,12 @@
 use tokio::time::Instant;
 
 use super::claim::{ClaimError, ClaimSource, TurnClaim};
-use super::messages::{ChainTurn, ClaimReply, ClaimRequest, PersistRequest, TurnEnd};
+use super::messages::{
+    ChainTurn, ClaimReply, ClaimRequest, PersistRequest, TurnEnd, resolve_names,
+};
 use super::{BACKGROUND_SETTLE_TIMEOUT, CLAIM_PATH, SETTLE_PATH, TurnManager};
 use crate::core::turns::{PrefixHolder, TurnRecord, TurnScope};
+use crate::core::workspaces::resolved_name;
 use crate::util::framed::{frame, unframe};
 
 impl TurnManager {
@@ -18,7 +21,12 @@
     ///
     /// The reservation belongs to the peer from here on. It is kept even if the peer disconnects: the
     /// peer may have taken the claim over and be running the turn under this reservation.
-    async fn claim_for_peer(self: &Rc<Self>, request: &ClaimRequest) -> Option<Bytes> {
+    async fn claim_for_peer(self: &Rc<Self>, mut request: ClaimRequest) -> Option<Bytes> {
+        let claim = &mut request.claim;
+        resolve_names(&mut claim.program, &mut claim.turn);
+        if let Some(previous) = &mut claim.previous {
+            *previous = resolved_name(previous, &claim.turn);
+        }
         let claim = &request.claim;
         let deadline = Instant::now() + Duration::from_millis(request.limit_ms);
         let reply = match self.claim_locally(claim, deadline, ClaimSource::Peer).await {
@@ -80,13 +88,14 @@
         let unavailable = (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
         if path == CLAIM_PATH {
             let Ok((request, _)) = unframe::<ClaimRequest>(body) else { return malformed };
-            return match self.claim_for_peer(&request).await {
+            return match self.claim_for_peer(request).await {
                 Some(reply) => (StatusCode::OK, reply),
                 None => unavailable,
             };
         }
         if path == SETTLE_PATH {
-            let Ok((request, _)) = unframe::<TurnEnd>(body) else { return malformed };
+            let Ok((mut request, _)) = unframe::<TurnEnd>(body) else { return malformed };
+            resolve_names(&mut request.program, &mut request.turn);
             if request.scope == TurnScope::Tokens {
                 self.end_turn(&request);
                 return (StatusCode::OK, Bytes::new());
@@ -95,8 +104,10 @@
             self.settle(&request.program, &request.turn, request.used, deadline).await;
             return (StatusCode::OK, Bytes::new());
         }
-        let Ok((request, record)) = unframe::<PersistRequest>(body) else { return malformed };
-        let Ok(record) = TurnRecord::decode(record) else { return malformed };
+        let Ok((mut request, record)) = unframe::<PersistRequest>(body) else { return malformed };
+        let Ok(mut record) = TurnRecord::decode(record) else { return malformed };
+        resolve_names(&mut request.program, &mut request.turn);
+        record.resolve_previous(&request.turn);
         let deadline = Instant::now() + Duration::from_millis(request.limit_ms);
         match self.store_record(&request.program, &request.turn, record, deadline).await {
             true => (StatusCode::OK, Bytes::new()),
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -142,6 +142,16 @@
         )
     }
 
+    /// Sends a message as an instance does to its peers: a line of JSON, then encoded records.
+    pub async fn peer_call(&self, path: &str, message: &Value, records: &str) -> RawMessage {
+        let body = format!("{message}\n{records}");
+        let request = format!(
+            "POST {path} HTTP/1.1\r\nHost: peer\r\nContent-Length: {}\r\n\r\n{body}",
+            body.len()
+        );
+        exchange(&self.settings.peer_address, &request).await.expect("a response arrives")
+    }
+
     pub async fn connect(&self) -> Wire {
         Wire::connect(&self.settings.caller_address).await
     }
--- a/tests/platform_standin/store.rs
+++ b/tests/platform_standin/store.rs
@@ -132,6 +132,11 @@
         self.write((table.into(), String::new(), key.into()), Some(value.to_vec()));
     }
 
+    /// Writes a row of a partition, as an instance would.
+    pub fn put_row(&self, table: &str, part: &str, key: &str, value: &str) {
+        self.write((table.into(), part.into(), key.into()), Some(value.into()));
+    }
+
     pub fn remove(&self, table: &str, key: &str) {
         self.write((table.into(), String::new(), key.into()), None);
     }
