Read event streams by their format, so that histories keep every line break

Seen by callers: a model whose event begins with a line break has that break removed from the history of the program.

Cause: `EventParser` put a line feed between two `data` lines only if the data so far was not empty, so it could not tell an event without data from one whose first line is empty. Ruled out: the encoding of records (input and output are framed by length) and the chain's body (the alteration stands in the stored row).

The same class, found by reading the format against the parser and the framer: - Lines may end with a carriage return, alone or before a line feed. Returns alone ended no line, so such streams had no events: no history, no tokens charged, and nothing forwarded on resumable routes until the end of the answer. - A field name without a colon has an empty value; `data` alone was ignored. A byte order mark hid the first field. - An event without an id: a resumable stream that was cut after it resumed after the last one that had one, so the event came twice. It is not resumed there now. - An id with a control character was kept for the header of a resumed request, which cannot hold it and panics (read, not run). - Blocks without data (comments, ids or retry delays alone) counted as events: their tokens were charged, and a line feed went into the history.

Change: one splitter finds the ends of lines for the parser, which reads fields by name, and for the framer, which cuts between events. The framer forwards the same bytes as before for streams with line feeds.

--- a/tests/gateway_resume.rs
+++ b/tests/gateway_resume.rs
@@ -51,6 +51,36 @@
     assert_eq!(resumed[0].header("last-event-id"), last_event_id);
 }
 
+/// Guards against a stream that is cut inside an event because its lines end otherwise or are empty.
+#[rstest]
+#[case::empty_line("id: 1\ndata: w1\n\nid: 2\ndata:\n", "id: 1\ndata: w1\n\n")]
+#[case::returns("id: 1\rdata: w1\r\rid: 2\rdata:\r", "id: 1\rdata: w1\r\r")]
+#[case::both("id: 1\r\ndata: w1\r\n\r\nid: 2\r\ndata:\r\n", "id: 1\r\ndata: w1\r\n\r\n")]
+#[case::inside_a_line_end("id: 1\r\ndata: w1\r\n\r", "id: 1\r\ndata: w1\r\n\r")]
+#[actix_rt::test]
+async fn interrupted_stream_resumes_between_events(
+    #[case] text: &'static str,
+    #[case] forwarded: &str,
+) {
+    let deployment = start_deployment(2, true).await;
+    deployment.engines[0].act(EngineAct::CutText(text));
+    let answer = deployment.gateway().call(&stream("t1")).await;
+    assert_eq!((answer.status(), answer.whole), (200, true));
+    let rest = COMPLETE_STREAM.strip_prefix("id: 1\ndata: w1\n\n").expect("it begins so");
+    assert_eq!(answer.text(), format!("{forwarded}{rest}"));
+}
+
+/// Guards against events that come twice, as the stream resumes after an earlier one.
+#[actix_rt::test]
+async fn stream_is_truncated_after_an_event_without_id() {
+    const EVENTS: &str = "id: 1\ndata: w1\n\ndata: w2\n\n";
+    let deployment = start_deployment(2, true).await;
+    deployment.engines[0].act(EngineAct::CutText(EVENTS));
+    let answer = deployment.gateway().call(&stream("t1")).await;
+    assert_eq!((answer.text().as_str(), answer.whole), (EVENTS, false));
+    assert!(deployment.engines[1].runs().is_empty());
+}
+
 /// Guards against running a stream at more engines than its route allows.
 #[actix_rt::test]
 async fn interrupted_stream_resumes_at_its_engine_if_no_other_may_run_it() {
--- a/tests/gateway_turns.rs
+++ b/tests/gateway_turns.rs
@@ -4,7 +4,10 @@
 
 use std::time::Duration;
 
-use platform_standin::{Deployment, alone, chained, default_routes, turn, wait_until};
+use platform_standin::engine::EngineAct;
+use platform_standin::{
+    Deployment, alone, budgeted_turn, chained, default_routes, turn, wait_until,
+};
 use serde_json::{Value, json};
 
 #[rstest::rstest]
@@ -124,6 +127,56 @@
     assert_eq!(gateway.call(&turn("x", "p", Some("alone"), "y")).await.status(), 404);
 }
 
+/// Guards against histories that lose the line breaks of the engine's texts, in the memory of an
+/// instance or in the store.
+#[rstest::rstest]
+#[case::line_feeds("\n", json!({}))]
+#[case::carriage_returns("\r", json!({}))]
+#[case::both("\r\n", json!({}))]
+#[case::alone("\n", alone())]
+#[actix_rt::test]
+async fn line_breaks_of_events_are_kept(#[case] end: &str, #[case] own: Value) {
+    let mut deployment = Deployment::start_with(2, 1, &own).await;
+    let texts = ["one", "\ntwo", "\n\n three\nfour\n", "", "\n"];
+    let event = |(number, text): (usize, &&str)| {
+        let lines: String = text.split('\n').map(|line| format!("data: {line}{end}")).collect();
+        format!("id: {number}{end}{lines}{end}")
+    };
+    let stream: String = texts.iter().enumerate().map(event).collect();
+    deployment.engines[0].act(EngineAct::Stream(stream.clone()));
+    let first = deployment.gateways[0].call(&turn("t1", "p", None, "in ")).await;
+    assert_eq!((first.text(), first.whole), (stream, true));
+    let history: String = texts.iter().map(|text| format!("{text}\n")).collect();
+    for (number, program) in ["p", "other"].into_iter().enumerate() {
+        let next = turn(&format!("n{number}"), program, Some("t1"), "next ");
+        assert_eq!(deployment.gateways[number].call(&next).await.status(), 200);
+    }
+    for gateway in &mut deployment.gateways {
+        gateway.kill().await;
+    }
+    deployment.gateways.clear();
+    deployment.add_gateway(7).await;
+    let next = turn("n2", "third", Some("t1"), "next ");
+    assert_eq!(deployment.gateway().call(&next).await.status(), 200);
+    for run in &deployment.runs()[1..] {
+        assert_eq!(run.text(), format!("in {history}next "));
+    }
+}
+
+/// Guards against comments of a stream that spend the program's tokens or enter its history.
+#[actix_rt::test]
+async fn comments_of_a_stream_are_neither_charged_nor_kept() {
+    let deployment = Deployment::start(1, 1).await;
+    let comments = ": keep-alive\n\n".repeat(10);
+    let stream = format!("{comments}id: 1\n: inside\ndata: w1\n\n{comments}");
+    deployment.engines[0].act(EngineAct::Stream(stream.clone()));
+    let first = deployment.gateway().call(&budgeted_turn("t1", "p", None, "in ", 8)).await;
+    assert_eq!((first.text(), first.whole), (stream, true));
+    let next = budgeted_turn("t2", "p", Some("t1"), "next ", 8);
+    assert_eq!(deployment.gateway().call(&next).await.status(), 200);
+    assert_eq!(deployment.runs()[1].text(), "in w1\nnext ");
+}
+
 /// Guards against records that exceed the store's limit on rows.
 #[rstest::rstest]
 #[case::coordinated(json!({}))]
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -40,6 +40,10 @@
     Fail(u16),
     /// Streams with this pause after each event.
     Paced(Duration),
+    /// Sends this text as an event stream, a byte at a time.
+    Stream(String),
+    /// Interrupts an event stream after this text.
+    CutText(&'static str),
 }
 
 /// What happens to an engine while it runs a request.
@@ -288,6 +292,12 @@
             Some(EngineAct::Slow(pause)) => vec![Step::Pause(pause), answer(200, &head, b"late")],
             Some(EngineAct::Fail(status)) => vec![answer(status, &head, b"failed")],
             Some(EngineAct::Paced(pause)) => paced(&head, pause),
+            Some(EngineAct::Stream(text)) => {
+                vec![Step::Send([text_stream(&head, &text), b"0\r\n\r\n".to_vec()].concat())]
+            }
+            Some(EngineAct::CutText(text)) => {
+                vec![Step::Send(text_stream(&head, text)), Step::Close]
+            }
             _ if is_stream => vec![Step::Send(events(EVENTS, true))],
             _ => vec![answer(200, &head, b"done")],
         }
@@ -313,6 +323,13 @@
     bytes
 }
 
+/// A stream without its end, in chunks of a byte.
+fn text_stream(head: &str, text: &str) -> Vec<u8> {
+    let mut bytes = stream_head(head);
+    bytes.extend(text.bytes().flat_map(|byte| [b"1\r\n", &[byte][..], b"\r\n"].concat()));
+    bytes
+}
+
 fn paced(head: &str, pause: Duration) -> Vec<Step> {
     let mut steps = vec![Step::Send(stream_head(head))];
     for event in 1..=EVENTS {
