--- a/tests/gateway_names.rs
+++ b/tests/gateway_names.rs
@@ -2,41 +2,34 @@
 
 mod platform_standin;
 
-use std::time::Duration;
-
 use platform_standin::{
-    Deployment, TestGateway, alone, budgeted_turn, call, chained, default_routes, from, manifest,
-    turn, wait_until, workspace,
+    Deployment, TestGateway, alone, budgeted_turn, chained, default_routes, from, manifest, turn,
+    wait_until, workspace,
 };
 use rstest::rstest;
 use serde_json::{Value, json};
 
-/// Bounds the time until all gateways use a new configuration.
-const CONFIG_DELAY: Duration = Duration::from_secs(2);
-
 fn public_routes() -> Vec<Value> {
     let mut routes = default_routes();
     routes[0]["public"] = true.into();
     routes
 }
 
-fn set_config(deployment: &Deployment, version: u64, routes: &[Value]) {
-    let mut config = manifest(version, routes);
-    config["tenants"] = json!([workspace("acme")]);
-    deployment.store.put("op", "config", &config);
-}
-
 /// Gateways of a workspace `acme`, whose callers share a public route for turns with everybody.
 async fn public_deployment(gateways: usize, overrides: &Value) -> Deployment {
-    let deployment = Deployment::start_with(gateways, 1, overrides).await;
-    set_config(&deployment, 2, &public_routes());
-    for gateway in &deployment.gateways {
-        wait_until("keys are required", async || {
-            gateway.call(&call("book", "probe")).await.status() == 401
-        })
-        .await;
+    deployment_with(&public_routes(), gateways, overrides).await
+}
+
+/// The routes are in force from the start of the gateways.
+async fn deployment_with(routes: &[Value], gateways: usize, overrides: &Value) -> Deployment {
+    let mut deployment = Deployment::start(0, 1).await;
+    let mut config = manifest(2, routes);
+    config["tenants"] = json!([workspace("acme")]);
+    deployment.store.put("op", "config", &config);
+    for number in 0..gateways {
+        let store = deployment.store_address.clone();
+        deployment.add_gateway_at(&format!("127.0.0.{}", number + 2), &store, overrides).await;
     }
-    deployment.engines[0].clear_runs();
     deployment
 }
 
@@ -75,11 +68,11 @@
 #[case::without_history(false)]
 #[actix_rt::test]
 async fn budget_of_a_workspace_is_not_charged_without_its_key(#[case] retained: bool) {
-    let deployment = public_deployment(2, &json!({})).await;
     let mut routes = public_routes();
     routes[0]["retained"] = retained.into();
-    set_config(&deployment, 3, &routes);
-    tokio::time::sleep(CONFIG_DELAY).await;
+    let deployment = deployment_with(&routes, 2, &json!({})).await;
+    // Instances that do not know each other coordinate a program twice and share its budget out.
+    deployment.all_named().await;
     let [first, second] = [&deployment.gateways[0], &deployment.gateways[1]];
     let forged = |id| budgeted_turn(id, "4:acme/p", None, "x", 12);
     assert_eq!(status(first, &forged("4:acme/t1")).await, 200);
@@ -247,14 +240,18 @@
 /// workspace's turn.
 #[actix_rt::test]
 async fn sweep_of_a_forged_turn_keeps_the_index_of_the_workspaces() {
-    let mut deployment = public_deployment(1, &json!({})).await;
     let mut routes = public_routes();
     routes[0]["retain-s"] = 4.into();
-    set_config(&deployment, 3, &routes);
-    store_turn(&deployment, "guest", "4:acme/t1", "", "planted ");
-    deployment.store.put_row("programs", "guest", "ledger", r#"{"s":6,"o":{},"k":1}"#);
+    let mut deployment = deployment_with(&routes, 1, &json!({})).await;
     let acme = from("acme", &turn("t1", "p", None, "mine "));
     assert_eq!(status(deployment.gateway(), &acme).await, 200);
+    // Stored after the workspace's turn, so that no sweep can come between.
+    let store = &deployment.store;
+    let index = store.values("turn-programs", "4:acme/t1");
+    store_turn(&deployment, "guest", "4:acme/t1", "", "planted ");
+    store.put_row("programs", "guest", "ledger", r#"{"s":6,"o":{},"k":1}"#);
+    store.put_row("turn-programs", "4:acme/t1", "4:acme/t1", "4:acme/p");
+    assert_eq!(store.values("turn-programs", "4:acme/t1"), index);
     wait_until("the forged program is swept", async || {
         deployment.store.values("programs", "t/4:acme/t1/").len() == 1
     })
