--- a/review/scenarios-2.rs
+++ b/review/scenarios-2.rs
@@ -154,6 +154,37 @@
     judge_denied(&world, &counts)
 }
 
+/// The machine that writes most to the store under a condition is stopped as planned, with SIGTERM.
+fn budget_term(folder: &Path) -> bool {
+    let mut world = World::new(folder);
+    let more = ",\"resumable\":true";
+    world.manifest(1, &[RouteText { prefix: "/turn/", kind: "stream", service: "llm", more }]);
+    let _engines: Vec<Engine> = (0..4).map(|n| Engine::start(&world, n, "llm")).collect();
+    (0..3).for_each(|_| world.add_gateway(130));
+    world.start_gateways();
+    let out_of_touch = OutOfTouch::default();
+    let plans = (0..96).map(|number| ProgramPlan {
+        name: format!("p{number}-{}", new_id()),
+        path: "/turn/x",
+        turns: 8,
+        most: 16,
+        think: Duration::from_millis(20),
+        retained: false,
+    });
+    let programs = play_programs(&world, plans.collect(), Duration::from_millis(15), &out_of_touch);
+    thread::sleep(Duration::from_millis(1_800));
+    if world.trouble {
+        let victim = world.store.main_writer().unwrap_or_else(|| cannot("nothing was written"));
+        let front = world.address(victim, world.ports.front);
+        out_of_touch.lock().unwrap().insert(front.clone(), Instant::now() + MAX_TIME);
+        world.record.note(&format!("SIGTERM to {front}, which writes most under a condition"));
+        world.gateways[victim].signal("TERM");
+    }
+    let counts: Vec<ProgramCount> =
+        programs.into_iter().map(|program| program.join().expect("programs end")).collect();
+    judge_denied(&world, &counts)
+}
+
 /// The machine that writes most to the store under a condition stands still for 1 s.
 fn budget_freeze(folder: &Path) -> bool {
     let mut world = World::new(folder);
@@ -196,6 +227,92 @@
     judge_denied(&world, &counts)
 }
 
+/// Bytes of each long input; `max-body-bytes` is 4,194,304.
+const LONG_INPUT: usize = 620_000;
+const LONG_TURNS: usize = 16;
+const RETAINED: Duration = Duration::from_secs(60);
+
+/// Programs go on from what another one said. A machine with less memory than the others is added.
+fn long_history(folder: &Path) -> bool {
+    let mut world = World::new(folder);
+    world.manifest(
+        1,
+        &[RouteText {
+            prefix: "/turn/",
+            kind: "stream",
+            service: "llm",
+            more: ",\"retained\":true,\"retain-s\":60",
+        }],
+    );
+    let _engines: Vec<Engine> = (0..4).map(|n| Engine::start(&world, n, "llm")).collect();
+    (0..3).for_each(|_| world.add_gateway(512));
+    world.start_gateways();
+    let (mut fronts, record) = (world.fronts(), world.record.clone());
+    let turn = |front: &str, program: &str, previous: Option<&str>, input: &str| {
+        let id = new_id();
+        let path = "/turn/x";
+        let turn = Turn { path, program, budget: 10_000, most: 4, previous, input };
+        (send_turn(front, &id, &turn, &record), id)
+    };
+    let input = "a".repeat(LONG_INPUT);
+    let mut last: Option<String> = None;
+    let author = format!("author-{}", new_id());
+    for number in 0..LONG_TURNS {
+        let (result, id) = turn(&fronts[number % 3], &author, last.as_deref(), &input);
+        if result.status != 200 || !result.whole {
+            cannot("the first program is not served");
+        }
+        last = Some(id);
+    }
+    let last = last.unwrap_or_default();
+    let told = Instant::now();
+    if world.trouble {
+        world.add_gateway(88);
+        let added = world.gateways.len() - 1;
+        world.gateways[added].start();
+        world.record.note("a machine of 88 MB is added");
+        let deadline = Instant::now() + Duration::from_secs(10);
+        while named(&world.address(0, world.ports.directory)) <= added {
+            if Instant::now() > deadline {
+                cannot("the machine that was added is not named");
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        thread::sleep(STABLE);
+        fronts = world.fronts();
+    }
+    let (mut served, mut lost, mut other) = (0, 0, 0);
+    for number in 0..6 {
+        let program = format!("next-{number}-{}", new_id());
+        let (mut previous, mut at) = (last.clone(), told);
+        for step in 0..4 {
+            let front = &fronts[(number + step) % fronts.len()];
+            let (result, id) = turn(front, &program, Some(&previous), "and then?");
+            match result.status {
+                200 if result.whole => {
+                    served += 1;
+                    (previous, at) = (id, Instant::now());
+                }
+                404 if at.elapsed() < RETAINED => {
+                    let seconds = at.elapsed().as_secs_f64();
+                    let text = format!("404 for a turn that was answered whole {seconds:.1} s ago");
+                    world.record.note(&text);
+                    lost += 1;
+                    break;
+                }
+                _ => other += 1,
+            }
+        }
+    }
+    let text = format!(
+        "{served} turns served, {lost} answered 404 although the turn before was answered whole within \
+         retain-s, {other} answered otherwise; the rule allows none"
+    );
+    world.record.note(&text);
+    println!("{text}");
+    lost > 0
+}
+
 const LONG_PROMPT: u64 = 48_000;
 
 #[derive(Default)]
@@ -436,6 +553,8 @@
         "memory-burst" => memory_burst,
         "timeout-close" => timeout_close,
         "budget-kill" => budget_kill,
+        "budget-term" => budget_term,
+        "long-history" => long_history,
         "budget-freeze" => budget_freeze,
         _ => cannot("no such scenario"),
     };
--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -463,10 +463,10 @@
         self.rows.1.notify_all();
     }
 
-    /// The gateway that wrote most often under a condition.
+    /// The gateway that wrote most often under a condition since the last call.
     fn main_writer(&self) -> Option<usize> {
-        let rows = self.rows.0.lock().unwrap();
-        rows.writes.iter().max_by_key(|(_, count)| **count).map(|(caller, _)| *caller)
+        let writes = std::mem::take(&mut self.rows.0.lock().unwrap().writes);
+        writes.into_iter().max_by_key(|(_, count)| *count).map(|(caller, _)| caller)
     }
 
     fn transaction(&self, body: &Json, caller: usize) -> (u16, String) {
@@ -607,6 +607,8 @@
 /// Pause between the events of a turn.
 const EVENT_TIME: Duration = Duration::from_millis(20);
 const EVENT_TOKENS: u64 = 2;
+/// One way, between zones.
+const LINK_TIME: Duration = Duration::from_micros(1_400);
 const PROMPT_TOKENS_PER_MS: u64 = 32;
 const BEAT: Duration = Duration::from_millis(1_200);
 
@@ -652,8 +654,18 @@
         }
     }
 
-    fn work(&self, time: Duration) {
-        thread::sleep(time * self.slowness.load(Ordering::Relaxed) as u32);
+    /// Works until the time is over; false if the request's time budget is spent before.
+    fn work(&self, time: Duration, stop_at: Instant) -> bool {
+        let time = time * self.slowness.load(Ordering::Relaxed) as u32;
+        let left = stop_at.saturating_duration_since(Instant::now());
+        thread::sleep(time.min(left));
+        time < left
+    }
+
+    /// The way back to the machine.
+    fn send(&self, wire: &mut Wire, bytes: &[u8]) -> bool {
+        thread::sleep(LINK_TIME);
+        wire.send(bytes)
     }
 
     fn handle(&self, wire: &mut Wire, request: &Message) -> bool {
@@ -676,30 +688,42 @@
     fn run(&self, wire: &mut Wire, request: &Message, id: &str, head: &str) -> bool {
         let usage = request.header("merlinsaddle-token-usage");
         let most = usage.split_once(',').and_then(|(_, most)| most.trim().parse::<u64>().ok());
+        thread::sleep(LINK_TIME);
+        let budget = request.header("merlinsaddle-deadline-ms").parse().unwrap_or(6_000);
+        let stop_at = Instant::now() + Duration::from_millis(budget);
         self.record.note(&format!("run {id} at {} ({} bytes)", self.id, request.body.len()));
         let Some(most) = most else {
-            self.work(Duration::from_millis(50));
-            return wire.send(&answer(200, head, b"done"));
+            if !self.work(Duration::from_millis(50), stop_at) {
+                return self.send(wire, &answer(504, head, b""));
+            }
+            return self.send(wire, &answer(200, head, b"done"));
         };
         let first = format!(
             "HTTP/1.1 200 OK\r\n{head}content-type: text/event-stream\r\n\
              transfer-encoding: chunked\r\n\r\n"
         );
-        if !wire.send(first.as_bytes()) {
+        if !self.send(wire, first.as_bytes()) {
             return false;
         }
-        // The head is sent at once; the prompt is read before the first event.
+        // The head is sent at once; the prompt is read before the first event. A stream whose time is
+        // over is cut off.
         let prompt = usage.split_once(',').and_then(|(tokens, _)| tokens.trim().parse().ok());
         let prompt: u64 = prompt.unwrap_or(0);
-        self.work(Duration::from_millis(prompt / PROMPT_TOKENS_PER_MS));
+        if !self.work(Duration::from_millis(prompt / PROMPT_TOKENS_PER_MS), stop_at) {
+            thread::sleep(LINK_TIME);
+            return false;
+        }
         for event in 1..=most / EVENT_TOKENS {
-            self.work(EVENT_TIME);
+            if !self.work(EVENT_TIME, stop_at) {
+                thread::sleep(LINK_TIME);
+                return false;
+            }
             let text = format!("id: {event}\ndata: w{event}\n\n");
-            if !wire.send(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()) {
+            if !self.send(wire, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()) {
                 return false;
             }
         }
-        wire.send(b"0\r\n\r\n")
+        self.send(wire, b"0\r\n\r\n")
     }
 }
 
