--- a/review/scenarios-2.rs
+++ b/review/scenarios-2.rs
@@ -201,7 +201,7 @@
     (0..9).for_each(|_| world.add_gateway(130));
     world.start_gateways();
     let out_of_touch = OutOfTouch::default();
-    let plans = (0..30).map(|number| ProgramPlan {
+    let plans = (0..45).map(|number| ProgramPlan {
         name: format!("p{number}-{}", new_id()),
         path: "/turn/x",
         turns: 12,
