Review case 6: a crashed engine's half event ends like a whole stream

Cause: end_relay looks at the last event of turns only. The case of the long history is dropped, as review/2 shows that fault already.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,4 +3,4 @@
 # disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/world-2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec target/review-2/world-2 long-history review/6
+exec target/review-2/world-2 torn-streams review/6
--- a/review/scenarios-2.rs
+++ b/review/scenarios-2.rs
@@ -407,6 +407,62 @@
     get(&counts.silent) > 3
 }
 
+const STREAM_EVENTS: u64 = 30;
+
+/// One engine of eight crashes while it sends events; its streams have no length.
+fn torn_streams(folder: &Path) -> bool {
+    let mut world = World::new(folder);
+    world.manifest(1, &[RouteText { prefix: "/talk/", kind: "stream", service: "llm", more: "" }]);
+    let engines: Vec<Engine> = (0..8).map(|n| Engine::start(&world, n, "llm")).collect();
+    engines.iter().for_each(|engine| engine.unframed.store(true, Ordering::Relaxed));
+    (0..3).for_each(|_| world.add_gateway(130));
+    world.start_gateways();
+    let consumers: Vec<_> = (0..48)
+        .map(|number| {
+            let (front, record) = (world.fronts()[number % 3].clone(), world.record.clone());
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(5) * number as u32);
+                let id = new_id();
+                let request = format!(
+                    "POST /talk/x HTTP/1.1\r\nHost: {HOST}\r\nMerlinsaddle-Request-Id: {id}\r\n\
+                     Merlinsaddle-Token-Usage: 320,{}\r\nMerlinsaddle-Model: m\r\n\
+                     Merlinsaddle-Deadline-Ms: 6000\r\nContent-Length: 5\r\n\r\nhello",
+                    STREAM_EVENTS * EVENT_TOKENS
+                );
+                record.note(&format!("sent {id} to {front}"));
+                let mut wire = Wire::connect(&front)?;
+                let _ = wire.stream.set_read_timeout(Some(Duration::from_secs(7)));
+                let answer = wire.send(request.as_bytes()).then(|| wire.message(true)).flatten()?;
+                let text = String::from_utf8_lossy(&answer.body).into_owned();
+                let last = format!("data: w{STREAM_EVENTS}\n\n");
+                let (status, ended, has_all) =
+                    (answer.status(), answer.whole, text.ends_with(&last));
+                let tail = text.lines().last().unwrap_or_default().to_owned();
+                record.note(&format!(
+                    "answered {id} status {status}, ended as complete: {ended}, has its last piece: \
+                     {has_all}, last line: {tail}"
+                ));
+                Some((status == 200 && ended, has_all))
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(600));
+    if world.trouble {
+        engines[3].crashed.store(true, Ordering::Relaxed);
+        world.record.note(&format!("{} crashes", engines[3].id));
+    }
+    let ends: Vec<_> =
+        consumers.into_iter().filter_map(|consumer| consumer.join().expect("they end")).collect();
+    let whole = ends.iter().filter(|(ended, has_all)| *ended && *has_all).count();
+    let torn = ends.iter().filter(|(ended, has_all)| *ended && !*has_all).count();
+    let text = format!(
+        "{whole} streams whole, {torn} ended as complete before their last piece; the rule allows none"
+    );
+    world.record.note(&text);
+    println!("{text}");
+    torn > 0
+}
+
 /// The resident memory of a process in bytes.
 fn memory(process: u32) -> Option<u64> {
     let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
@@ -554,6 +610,7 @@
         "timeout-close" => timeout_close,
         "budget-kill" => budget_kill,
         "budget-term" => budget_term,
+        "torn-streams" => torn_streams,
         "long-history" => long_history,
         "budget-freeze" => budget_freeze,
         _ => cannot("no such scenario"),
--- a/review/world-2.rs
+++ b/review/world-2.rs
@@ -11,7 +11,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -600,6 +600,10 @@
 struct Engine {
     id: String,
     record: Record,
+    /// Its streams have no length and end with their channel.
+    unframed: Arc<AtomicBool>,
+    /// Its process has ended; its channels end where they are.
+    crashed: Arc<AtomicBool>,
     /// Multiplies the time of all work.
     slowness: Arc<AtomicUsize>,
 }
@@ -621,10 +625,19 @@
             id: id.clone(),
             record: world.record.clone(),
             slowness: Arc::new(AtomicUsize::new(1)),
+            unframed: Arc::default(),
+            crashed: Arc::default(),
         };
+        let crashed = engine.crashed.clone();
         let (store, slots) = (world.store.clone(), if service == "llm" { 96 } else { 6 });
         thread::spawn(move || {
             for sequence in 1.. {
+                if crashed.load(Ordering::Relaxed) {
+                    // The entry goes after three heartbeats of silence.
+                    thread::sleep(2 * BEAT);
+                    store.write("servers", &id, None);
+                    return;
+                }
                 let entry = format!(
                     "{{\"service\":\"{service}\",\"address\":\"{address}\",\"zone\":\"zone-a\",\
                      \"version\":\"v1\",\"slots\":{slots},\"state\":\"ready\",\"cold-left-ms\":0,\
@@ -638,6 +651,9 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let engine = served.clone();
+                if engine.crashed.load(Ordering::Relaxed) {
+                    return;
+                }
                 thread::spawn(move || engine.serve(stream));
             }
         });
@@ -698,9 +714,10 @@
             }
             return self.send(wire, &answer(200, head, b"done"));
         };
+        let is_framed = !self.unframed.load(Ordering::Relaxed);
+        let framing = if is_framed { "transfer-encoding: chunked" } else { "connection: close" };
         let first = format!(
-            "HTTP/1.1 200 OK\r\n{head}content-type: text/event-stream\r\n\
-             transfer-encoding: chunked\r\n\r\n"
+            "HTTP/1.1 200 OK\r\n{head}content-type: text/event-stream\r\n{framing}\r\n\r\n"
         );
         if !self.send(wire, first.as_bytes()) {
             return false;
@@ -719,11 +736,20 @@
                 return false;
             }
             let text = format!("id: {event}\ndata: w{event}\n\n");
-            if !self.send(wire, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()) {
+            if self.crashed.load(Ordering::Relaxed) {
+                self.record.note(&format!("{} ends inside event {event} of {id}", self.id));
+                wire.send(&text.as_bytes()[..text.len() / 2]);
+                return false;
+            }
+            let sent = match is_framed {
+                true => self.send(wire, format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()),
+                false => self.send(wire, text.as_bytes()),
+            };
+            if !sent {
                 return false;
             }
         }
-        self.send(wire, b"0\r\n\r\n")
+        is_framed && self.send(wire, b"0\r\n\r\n")
     }
 }
 
