Reproduce work for upstreams that have left

- a heartbeat that the store applies late lists an upstream again after its entry was removed;
- a stream that is resumed at its own engine, as no other may run it, goes there although the engine has begun to drain.

The stand-ins learn to number heartbeats and to interrupt a stream after a pause.

--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -6,6 +6,8 @@
 mod change_log;
 #[cfg(test)]
 mod change_log_tests;
+#[cfg(test)]
+mod leaving_tests;
 mod messages;
 #[cfg(test)]
 mod messages_tests;
--- a/src/gateway/feed/reader.rs
+++ b/src/gateway/feed/reader.rs
@@ -159,7 +159,7 @@
 
     /// Applies a reply. Its time is the earliest at which the reader can have sent it, so that the
     /// data is never taken for newer than it is.
-    fn apply_reply(&self, reply: WatchReply, requested: ClockMark) {
+    pub(super) fn apply_reply(&self, reply: WatchReply, requested: ClockMark) {
         let replied_at = requested.steady() + reply.held.min(requested.steady().elapsed());
         let before = |age: Duration| replied_at.checked_sub(age).unwrap_or(requested.steady());
         if let Some(recovered) = reply.recovered {
--- a/tests/gateway_feed.rs
+++ b/tests/gateway_feed.rs
@@ -10,6 +10,7 @@
 use platform_standin::{
     Deployment, TestGateway, call, default_routes, manifest, route, turn, wait_until,
 };
+use rstest::rstest;
 use serde_json::json;
 
 /// Guards against a 404, after which callers give up for good, from an instance that has no routes
@@ -122,6 +123,51 @@
     assert_eq!(first.seen(), before);
 }
 
+/// Guards against a heartbeat that the store applies only after the engine has left, and that makes it
+/// look ready again.
+#[rstest]
+#[case::announced("draining")]
+#[case::silent("ready")]
+#[actix_rt::test]
+async fn late_heartbeat_of_an_engine_that_left_is_ignored(#[case] last_state: &str) {
+    let deployment = Deployment::start(1, 0).await;
+    let engine = StandinEngine::default();
+    let address = engine.start("127.0.0.1").await;
+    let book = async |id: &str| deployment.gateway().call(&call("book", id)).await.status();
+    deployment.list_heartbeat("e", &address, "ready", 6);
+    wait_until("the engine serves", async || book("b1").await == 200).await;
+    deployment.list_heartbeat("e", &address, last_state, 7);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.store.remove("servers", "e");
+    wait_until("the engine is dropped", async || book("b2").await == 503).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = engine.seen();
+    deployment.list_heartbeat("e", &address, "ready", 6);
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    assert_eq!((book("b3").await, engine.seen()), (503, before));
+}
+
+/// Guards against an engine that is never used again after its entry lapsed while it was cut off.
+#[actix_rt::test]
+async fn engine_that_writes_its_entry_again_is_used() {
+    let deployment = Deployment::start(1, 0).await;
+    let engine = StandinEngine::default();
+    let address = engine.start("127.0.0.1").await;
+    deployment.list_heartbeat("e", &address, "ready", 7);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.store.remove("servers", "e");
+    let book = async |id: &str| deployment.gateway().call(&call("book", id)).await.status();
+    wait_until("the engine is dropped", async || book("b1").await == 503).await;
+    let serves = async || {
+        for sequence in 8..10 {
+            deployment.list_heartbeat("e", &address, "ready", sequence);
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        }
+        book("b2").await
+    };
+    assert_eq!(serves().await, 200);
+}
+
 /// Guards against malformed entries in the list of engines that affect the valid ones.
 #[actix_rt::test]
 async fn malformed_engine_entries_are_ignored() {
--- a/tests/gateway_resume.rs
+++ b/tests/gateway_resume.rs
@@ -2,6 +2,8 @@
 
 mod platform_standin;
 
+use std::time::Duration;
+
 use platform_standin::engine::EngineAct;
 use platform_standin::{Deployment, HOST, budgeted_turn, route, wait_until};
 use rstest::rstest;
@@ -94,6 +96,31 @@
     assert!(deployment.engines[1].runs().is_empty());
 }
 
+/// Guards against a stream that goes back to its engine, as no other may run it, although the engine
+/// has left since.
+#[rstest]
+#[case::announced(Some("draining"), 0)]
+#[case::silent(None, 1)]
+#[actix_rt::test]
+async fn interrupted_stream_does_not_return_to_an_engine_that_left(
+    #[case] state: Option<&str>,
+    #[case] resumed: usize,
+) {
+    let deployment = start_deployment(1, true).await;
+    deployment.engines[0].act(EngineAct::CutLater(Duration::from_millis(2_200)));
+    let streaming = deployment.gateway().call_later(&stream("t1"));
+    wait_until("the stream runs", async || deployment.engines[0].runs().len() == 1).await;
+    match state {
+        Some(state) => deployment.list_engine("e0", "127.0.0.1:1", state),
+        None => deployment.store.remove("servers", "e0"),
+    }
+    let answer = streaming.await.expect("the call ends");
+    // An engine that is no longer listed does not count against the route's attempts.
+    assert_eq!((answer.status(), answer.whole), (200, resumed == 1));
+    assert_eq!(deployment.engines[0].runs().len(), 1);
+    assert_eq!(deployment.engines[1].runs().len(), resumed);
+}
+
 /// Guards against endless reruns at an engine that interrupts all streams.
 #[actix_rt::test]
 async fn stream_is_truncated_after_the_maximum_of_reruns() {
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -25,6 +25,8 @@
     LoseAnswer,
     /// Interrupts the stream after this many events.
     CutAfter(usize),
+    /// Interrupts the stream after one event and this pause.
+    CutLater(Duration),
     /// Interrupts the stream in the middle of the event after this many.
     CutInside(usize),
     /// Ignores `Last-Event-Id` and streams from the first event.
@@ -269,6 +271,9 @@
         match act {
             Some(EngineAct::LoseAnswer) => vec![Step::Close],
             Some(EngineAct::CutAfter(count)) => vec![Step::Send(events(count, false)), Step::Close],
+            Some(EngineAct::CutLater(pause)) => {
+                vec![Step::Send(events(1, false)), Step::Pause(pause), Step::Close]
+            }
             Some(EngineAct::CutInside(count)) => {
                 let mut bytes = events(count, false);
                 let text = format!("id: {}\nda", count + 1);
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -277,6 +277,13 @@
         self.store.put(ENGINES_TABLE, id, &entry);
     }
 
+    /// Writes a heartbeat of an engine, which numbers them.
+    pub fn list_heartbeat(&self, id: &str, address: &str, state: &str, sequence: u64) {
+        let mut entry = engine_entry("zone-a", address, state);
+        entry["sequence"] = sequence.into();
+        self.store.put(ENGINES_TABLE, id, &entry);
+    }
+
     fn list_engine_in(&self, zone: &str, id: &str, address: &str, state: &str) {
         self.store.put(ENGINES_TABLE, id, &engine_entry(zone, address, state));
     }
