Ignore replies that are older than what is known of the upstreams

A removed upstream could be listed again and get work until it ended. An instance that changes between the store and a reader has two requests under way. The later reply may hold older rows: the upstream as ready. The log of changes dropped such rows, the table of upstreams did not; as the position of the log only grows, no later reply removed the upstream again. The same held for a list read after lost history.

All changes up to the known position are known, so rows up to it are ignored, and a list of before it as a whole.

late_reply_does_not_list_a_removed_upstream fails on the code before, for changes and for lists, and passes now.

--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -219,7 +219,14 @@
         }
     }
 
+    /// Ignores a list that is older than what is known: a reply that was under way while another
+    /// source sent newer changes would list upstreams again that have left since.
     fn replace_upstreams(&self, rows: Vec<StoredRow>, head: RowVersion, requested: Instant) {
+        let known = self.upstream_log.borrow().head();
+        if head < known {
+            log::info!("event=upstreams_outdated head={head} known={known}");
+            return;
+        }
         let read: Vec<_> = rows.iter().map(|row| (row, self.read_entry(row))).collect();
         let entries: Vec<_> = read.iter().filter_map(|(_, entry)| entry.clone()).collect();
         log::info!("event=upstreams_read count={} led={}", entries.len(), self.is_following());
@@ -233,10 +240,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Ignores rows up to the known position, for the same reason.
     fn update_upstreams(&self, rows: Vec<StoredRow>, head: RowVersion, requested: Instant) {
         let now = Instant::now();
+        let known = self.upstream_log.borrow().head();
         let mut upstreams = self.upstreams.borrow_mut();
-        for row in rows {
+        for row in rows.into_iter().filter(|row| row.version > known) {
             self.update_upstream(&mut upstreams, row, now);
         }
         for upstream in upstreams.expire(now) {
