Pass over readers that follow this instance

Instances could follow each other and hear no news: of upstreams that announced their leave, of removed ones, of routes. Members agree on the readers of a zone only while they agree on its members. An instance that has withdrawn its readiness is not in its own list and follows another one; that one may still list it as its reader, for as long as the news takes. Each exchange counted one more instance on the way and allowed 400 ms more of age, so in a cycle the age that was accepted grew as fast as the age, and none of them turned to the store.

A reply names the instances on its way, and an instance passes over a reader whose way leads through itself. The age that is allowed is bounded by the depth of the tree. Instances of an earlier release send no names; a cycle with them ends by that bound.

--- a/src/gateway/feed/leaving_tests.rs
+++ b/src/gateway/feed/leaving_tests.rs
@@ -14,6 +14,7 @@
 use super::change_log::ChangePage;
 use super::messages::{TableChanges, WatchReply};
 use super::{ChangeFeed, FeedReaders};
+use crate::core::ids::InstanceId;
 use crate::core::routing::{CallerLimits, RouteTable};
 use crate::core::upstreams::{ChoiceRequest, UpstreamEntry, UpstreamState};
 use crate::gateway::dialect::{
@@ -130,6 +131,7 @@
 }
 
 struct FixedReader {
+    instance: InstanceId,
     reader: Box<str>,
 }
 
@@ -141,6 +143,10 @@
     fn reads_feed(&self) -> bool {
         true
     }
+
+    fn instance(&self) -> InstanceId {
+        self.instance.clone()
+    }
 }
 
 fn row(table: &str, key: &str, version: RowVersion, value: Option<&'static str>) -> StoredRow {
@@ -158,7 +164,7 @@
     let dialect: Rc<dyn GatewayDialect> = Rc::new(TestDialect);
     let meter = GatewayMetrics::new(instance).store_meter();
     let store = StoreLink::new("127.0.0.1:1", pool.clone(), dialect.clone(), true, meter);
-    let readers = FixedReader { reader: reader.into() };
+    let readers = FixedReader { instance: instance.into(), reader: reader.into() };
     let feed = ChangeFeed::new(Rc::new(store), pool, dialect, Some(Rc::new(readers)));
     feed.replace_routes(vec![row("routes", "r", 1, Some(""))], 10, ClockMark::now());
     feed.replace_upstreams(vec![upstream(9, Some("ready"))], 10, Instant::now());
@@ -193,6 +199,7 @@
         recovered,
         held: Duration::ZERO,
         hops: 0,
+        path: vec!["reader".into()],
     }
 }
 
--- a/src/gateway/feed/messages.rs
+++ b/src/gateway/feed/messages.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::change_log::ChangePage;
+use crate::core::ids::InstanceId;
 use crate::gateway::rows::{RowKey, RowVersion, StoredRow};
 use crate::util::framed::{FrameError, frame, unframe};
 
@@ -51,6 +52,9 @@
     held_ms: u64,
     #[serde(default)]
     hops: u32,
+    /// Instances of an earlier release do not send it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    path: Vec<InstanceId>,
 }
 
 #[derive(Debug)]
@@ -71,6 +75,8 @@
     pub(super) held: Duration,
     /// Number of instances between the store and the reader.
     pub(super) hops: u32,
+    /// The reader, and the instances between the store and it.
+    pub(super) path: Vec<InstanceId>,
 }
 
 impl TableChanges {
@@ -144,8 +150,8 @@
         let returned_ms = self.recovered.map(|recovered| recovered.as_millis() as u64);
         let values: Vec<&[u8]> = route_values.chain(upstream_values).collect();
         let held_ms = self.held.as_millis() as u64;
-        let hops = self.hops;
-        frame(&ReplyHead { routes, upstreams, returned_ms, held_ms, hops }, &values)
+        let (hops, path) = (self.hops, self.path.clone());
+        frame(&ReplyHead { routes, upstreams, returned_ms, held_ms, hops, path }, &values)
     }
 
     pub(super) fn decode(
@@ -158,6 +164,6 @@
         let upstreams = TableChanges::join(upstreams_table, head.upstreams, &mut values)?;
         let recovered = head.returned_ms.map(Duration::from_millis);
         let held = Duration::from_millis(head.held_ms);
-        Ok(Self { routes, upstreams, recovered, held, hops: head.hops })
+        Ok(Self { routes, upstreams, recovered, held, hops: head.hops, path: head.path })
     }
 }
--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -27,7 +27,7 @@
 use super::quotas::QuotaSource;
 use super::rows::{RowVersion, StoredRow};
 use super::store::StoreLink;
-use crate::core::ids::UpstreamId;
+use crate::core::ids::{InstanceId, UpstreamId};
 use crate::core::load::LoadKey;
 use crate::core::quotas::QuotaLimit;
 use crate::core::routing::{RouteTable, TableVersion, TableView, UpdateOutcome};
@@ -65,6 +65,8 @@
     /// While set, a reader provides the feed and this instance does not read the store.
     following: Cell<bool>,
     hops: Cell<u32>,
+    /// The reader that is followed, and the instances between the store and it.
+    path: RefCell<Vec<InstanceId>>,
     /// `None` if readers are disabled.
     readers: Option<Rc<dyn FeedReaders>>,
     reader_changed: Notify,
@@ -95,6 +97,7 @@
             changed: Notify::new(),
             following: Cell::new(false),
             hops: Cell::new(0),
+            path: RefCell::default(),
             readers,
             reader_changed: Notify::new(),
             refresh: Mutex::new(()),
--- a/src/gateway/feed/reader.rs
+++ b/src/gateway/feed/reader.rs
@@ -12,6 +12,7 @@
 use super::ChangeFeed;
 use super::change_log::ChangeLog;
 use super::messages::{TableChanges, WatchReply, WatchRequest};
+use crate::core::ids::InstanceId;
 use crate::gateway::latency::FailedPeers;
 use crate::util::pause::ClockMark;
 
@@ -24,6 +25,8 @@
 const READER_HOLD_TIMEOUT: Duration = Duration::from_millis(300);
 /// Added to [`MAX_AGE`] for each instance between the store and the reader.
 const MAX_AGE_PER_HOP: Duration = Duration::from_millis(400);
+/// Depth of the tree of readers with some thousand instances in a zone.
+const MAX_HOPS: u32 = 2;
 /// How long a starting instance waits for a reader before it reads a long list of upstreams itself.
 const START_TIMEOUT: Duration = Duration::from_millis(400);
 const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -44,6 +47,8 @@
 
     /// Returns true if other instances follow this one.
     fn reads_feed(&self) -> bool;
+
+    fn instance(&self) -> InstanceId;
 }
 
 #[derive(Debug, derive_more::Display)]
@@ -56,6 +61,8 @@
     Malformed(crate::util::framed::FrameError),
     #[display("its data is {} ms old", _0.as_millis())]
     Outdated(Duration),
+    #[display("it follows this instance")]
+    Cycle,
 }
 
 impl ChangeFeed {
@@ -150,6 +157,12 @@
         let (routes, upstreams) = (self.dialect.routes_table(), self.dialect.upstreams_table());
         let reply =
             WatchReply::decode(&text, routes, upstreams).map_err(ReaderFailure::Malformed)?;
+        // Members may differ in their views, so that readers follow each other. None of them would
+        // read the store.
+        let me = self.readers.as_ref().map(|readers| readers.instance());
+        if me.is_some_and(|me| reply.path.contains(&me)) {
+            return Err(ReaderFailure::Cycle);
+        }
         let age = reply.routes.age.max(reply.upstreams.age);
         if age > max_age_after(reply.hops) {
             return Err(ReaderFailure::Outdated(age));
@@ -166,6 +179,7 @@
             self.upstreams.borrow_mut().record_store_recovery(before(recovered));
         }
         self.hops.set(reply.hops + 1);
+        *self.path.borrow_mut() = reply.path;
         let TableChanges { head, age, page } = reply.routes;
         match page.complete {
             true => self.replace_routes(page.rows, head, requested),
@@ -178,6 +192,13 @@
         }
     }
 
+    /// The instances between the store and a follower of this one.
+    fn reader_path(&self) -> Vec<InstanceId> {
+        let mut path = if self.is_following() { self.path.borrow().clone() } else { Vec::new() };
+        path.extend(self.readers.as_ref().map(|readers| readers.instance()));
+        path
+    }
+
     /// Replies to a follower once something has changed or the hold time has passed. Returns `None`
     /// if the data is outdated or the store is unavailable, so that followers notice the outage
     /// themselves before a caller's turn does.
@@ -199,8 +220,9 @@
             let has_changes = !routes.page.rows.is_empty() || !upstreams.page.rows.is_empty();
             if has_changes || request.continues || Instant::now() >= deadline {
                 let recovered = self.upstreams.borrow().time_since_recovery(Instant::now());
-                let held = begun.elapsed();
-                return Some(WatchReply { routes, upstreams, recovered, held, hops }.encode());
+                let (held, path) = (begun.elapsed(), self.reader_path());
+                let reply = WatchReply { routes, upstreams, recovered, held, hops, path };
+                return Some(reply.encode());
             }
             tokio::select! {
                 () = changed => {}
@@ -211,11 +233,11 @@
     }
 }
 
+fn max_age_after(hops: u32) -> Duration {
+    MAX_AGE + MAX_AGE_PER_HOP * hops.min(MAX_HOPS)
+}
+
 /// Returns `None` before the first reply of the store.
 fn changes_of(log: &ChangeLog, after: u64, continues: bool) -> Option<TableChanges> {
     Some(TableChanges { head: log.head(), age: log.age()?, page: log.since(after, continues) })
 }
-
-fn max_age_after(hops: u32) -> Duration {
-    MAX_AGE + MAX_AGE_PER_HOP * hops
-}
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -222,10 +222,6 @@
         table.iter().filter(|member| member.state == MemberState::Alive).count()
     }
 
-    fn instance(&self) -> InstanceId {
-        self.table.borrow().me().instance.clone()
-    }
-
     pub(crate) async fn run(self: Rc<Self>) {
         actix_rt::spawn(self.clone().receive());
         let mut next_join = Instant::now();
--- a/src/gateway/members/roles.rs
+++ b/src/gateway/members/roles.rs
@@ -6,6 +6,7 @@
 use rand::seq::SliceRandom;
 
 use super::{MemberView, is_ready};
+use crate::core::ids::InstanceId;
 use crate::core::load::LoadSender;
 use crate::core::members::{
     GroupRole, MemberInfo, MemberState, group_role, preferred_member, preferred_members, tree_role,
@@ -62,11 +63,11 @@
 
 impl RelayPeers for MemberView {
     fn relay_addresses(&self) -> Vec<Box<str>> {
-        let me = self.instance();
         let table = self.table.borrow();
+        let me = &table.me().instance;
         let others = table
             .iter()
-            .filter(|member| member.state == MemberState::Alive && member.instance != me);
+            .filter(|member| member.state == MemberState::Alive && member.instance != *me);
         let mut others: Vec<_> = others.collect();
         others.shuffle(&mut rand::rng());
         // A ready instance reaches the store, and traffic between zones is charged.
@@ -95,6 +96,10 @@
         let names = local.map(|member| &*member.instance);
         group_role("news", &me.instance, READER_SPAN, names) == GroupRole::Leader
     }
+
+    fn instance(&self) -> InstanceId {
+        self.table.borrow().me().instance.clone()
+    }
 }
 
 impl LoadPeers for MemberView {
