Defer removals for outages of the store only

An upstream whose entry was removed could stay in use for as long as a reader of the zone lost and regained its own way to the store. Removals are deferred until 2.3 s after an outage, as entries expire in it. A follower took over each recovery that its reader reported, also where the store turned only that reader away, and each recovery started the 2.3 s anew.

A recovery counts for a follower only if no news came for longer than readers that reach the store leave between two replies; otherwise no entry can have expired. While a reader sends fresh data, an outage of the instance's own way defers nothing. A deferral runs out after 2.3 s in which the store could be read, in total, and neither a further outage nor a repeated removal restarts it.

Weighed: a bound from the first removal on, whatever follows. It drops all upstreams where a true outage has a short gap.

--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -6,6 +6,7 @@
 mod index;
 mod placement;
 mod pressure;
+mod readability;
 mod speed;
 mod table;
 
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -8,6 +8,7 @@
 use super::health::LOAD_DECAY;
 use super::index::ServiceIndex;
 use super::pressure::PressureCache;
+use super::readability::StoreReadability;
 use super::speed::{ServiceSpeed, UpstreamSpeed};
 use super::{
     AttemptResult, AttemptTiming, BlockId, StartMillis, UpstreamEntry, UpstreamHealth,
@@ -18,9 +19,6 @@
 use crate::core::load::{LoadKey, load_key};
 use crate::core::routing::ServiceName;
 
-/// Upstreams rewrite entries that expired in an outage within about 2 s of the recovery. The rest
-/// is for the change feed to deliver them.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2_300);
 /// The mean covers about the last hundred samples.
 const BASELINE_LATENCY_WEIGHT: f64 = 0.01;
 /// 20,000 blocks take about 2 MB.
@@ -51,8 +49,9 @@
     pub(super) speed: UpstreamSpeed,
     /// When this instance first saw the incarnation.
     first_seen: Instant,
-    /// Removed in an outage of the store or shortly after it.
-    expired_in_outage: bool,
+    /// Set if the entry was removed in an outage of the store or shortly after it: the total time of
+    /// readability after which the removal takes effect.
+    lapses_after: Option<Duration>,
 }
 
 impl TrackedUpstream {
@@ -65,13 +64,13 @@
             load,
             speed: UpstreamSpeed::default(),
             first_seen: now,
-            expired_in_outage: false,
+            lapses_after: None,
         }
     }
 
     /// Applies an entry of the same incarnation; true if it changes what may be chosen.
     fn refresh(&mut self, entry: UpstreamEntry) -> bool {
-        self.expired_in_outage = false;
+        self.lapses_after = None;
         let changed = self.entry.state != entry.state || self.entry.address != entry.address;
         // Draining is final for an incarnation: a late entry with the earlier state must not undo it.
         if self.entry.state == UpstreamState::Ready {
@@ -87,8 +86,7 @@
     pub(super) index: ServiceIndex,
     /// Time of the last attempt of this instance, for upstreams used recently.
     pub(super) recent: HashMap<UpstreamId, Instant>,
-    unreadable_since: Option<Instant>,
-    recovered_at: Option<Instant>,
+    readability: StoreReadability,
     pub(super) resident: HashMap<BlockId, BTreeSet<UpstreamId>>,
     resident_order: VecDeque<BlockId>,
     /// Moving averages in milliseconds.
@@ -193,11 +191,14 @@
     }
 
     /// Entries of healthy upstreams expire in an outage of the store. Dropping them all at once would
-    /// leave no upstream, so removals are deferred until they should have been rewritten.
+    /// leave no upstream, so removals are deferred until they should have been rewritten. A repeated
+    /// removal or another outage does not restart that time, or else troubles that follow each other
+    /// would defer a removal without end.
     fn remove(&mut self, id: &str, now: Instant) -> bool {
-        if self.defers_removals(now) {
+        if let Some(grace) = self.readability.grace(now) {
             if let Some(known) = self.upstreams.get_mut(id) {
-                known.expired_in_outage = true;
+                let lapses_after = self.readability.total(now) + grace;
+                known.lapses_after.get_or_insert(lapses_after);
             }
             return false;
         }
@@ -217,44 +218,30 @@
     /// An entry that expired in an outage stays available only until it should have been rewritten.
     /// This must not depend on a further update, as the upstream may really be gone.
     pub(super) fn is_available(&self, known: &TrackedUpstream, now: Instant) -> bool {
-        let listed = !known.expired_in_outage || self.defers_removals(now);
-        listed && known.entry.state == UpstreamState::Ready
+        !self.has_lapsed(known, now) && known.entry.state == UpstreamState::Ready
     }
 
-    fn defers_removals(&self, now: Instant) -> bool {
-        let recovering =
-            self.recovered_at.is_some_and(|recovered| now < recovered + RECOVERY_GRACE);
-        self.unreadable_since.is_some() || recovering
+    fn has_lapsed(&self, known: &TrackedUpstream, now: Instant) -> bool {
+        known.lapses_after.is_some_and(|lapses_after| self.readability.total(now) >= lapses_after)
     }
 
     pub fn set_store_readable(&mut self, readable: bool, now: Instant) {
-        match (readable, self.unreadable_since) {
-            (true, Some(_)) => {
-                self.unreadable_since = None;
-                self.recovered_at = Some(now);
-            }
-            (false, None) => self.unreadable_since = Some(now),
-            (true, None) | (false, Some(_)) => {}
-        }
+        self.readability.set(readable, now);
     }
 
     /// Records a recovery of the store that a peer observed.
     pub fn record_store_recovery(&mut self, at: Instant) {
-        self.recovered_at = self.recovered_at.max(Some(at));
+        self.readability.record_recovery(at);
     }
 
     /// `None` once removals are no longer deferred for the recovery.
     pub fn time_since_recovery(&self, now: Instant) -> Option<Duration> {
-        let elapsed = self.recovered_at.map(|recovered| now.saturating_duration_since(recovered));
-        elapsed.filter(|elapsed| *elapsed < RECOVERY_GRACE)
+        self.readability.time_since_recovery(now)
     }
 
     /// Removes entries that were not rewritten after an outage and returns their ids.
     pub fn expire(&mut self, now: Instant) -> Vec<UpstreamId> {
-        if self.defers_removals(now) {
-            return Vec::new();
-        }
-        let expired = self.upstreams.iter().filter(|(_, known)| known.expired_in_outage);
+        let expired = self.upstreams.iter().filter(|(_, known)| self.has_lapsed(known, now));
         let gone: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
         for id in &gone {
             self.forget(id);
--- a/src/gateway/feed/follow.rs
+++ b/src/gateway/feed/follow.rs
@@ -127,12 +127,18 @@
     pub(crate) async fn follow_outages(self: Rc<Self>) {
         loop {
             self.store.unreachable().await;
-            self.upstreams.borrow_mut().set_store_readable(false, Instant::now());
+            self.update_readability();
             self.store.reachable().await;
-            self.upstreams.borrow_mut().set_store_readable(true, Instant::now());
+            self.update_readability();
         }
     }
 
+    /// A reader that sends fresh data shows that the store works, whatever the way of this instance.
+    pub(super) fn update_readability(&self) {
+        let readable = self.is_following() || self.store.outage().is_none();
+        self.upstreams.borrow_mut().set_store_readable(readable, Instant::now());
+    }
+
     async fn until_not_following(&self) {
         loop {
             let changed = self.reader_changed.notified();
--- a/src/gateway/feed/reader.rs
+++ b/src/gateway/feed/reader.rs
@@ -92,6 +92,7 @@
             return;
         }
         log::info!("event=news_source reader={}", reader.unwrap_or("none"));
+        self.update_readability();
         self.reader_changed.notify_waiters();
     }
 
@@ -175,7 +176,7 @@
     pub(super) fn apply_reply(&self, reply: WatchReply, requested: ClockMark) {
         let replied_at = requested.steady() + reply.held.min(requested.steady().elapsed());
         let before = |age: Duration| replied_at.checked_sub(age).unwrap_or(requested.steady());
-        if let Some(recovered) = reply.recovered {
+        if let Some(recovered) = reply.recovered.filter(|_| self.has_missed_news(reply.hops)) {
             self.upstreams.borrow_mut().record_store_recovery(before(recovered));
         }
         self.hops.set(reply.hops + 1);
@@ -192,6 +193,14 @@
         }
     }
 
+    /// Returns true if no news came for longer than readers that reach the store leave between two
+    /// replies. Otherwise a recovery that the reader reports is one of its own way to the store, and
+    /// no entry has lapsed.
+    fn has_missed_news(&self, hops: u32) -> bool {
+        let longest = max_age_after(hops) + HOLD_TIMEOUT + REPLY_TIMEOUT;
+        self.upstream_log.borrow().age().is_none_or(|age| age > longest)
+    }
+
     /// The instances between the store and a follower of this one.
     fn reader_path(&self) -> Vec<InstanceId> {
         let mut path = if self.is_following() { self.path.borrow().clone() } else { Vec::new() };
