Remember upstreams that left, so that late heartbeats do not list them again

An upstream whose entry was removed got work again where the store applied one of its heartbeats after the removal. The table forgot all of an upstream with its entry, that it had announced its leave included, and took the heartbeat for a new upstream.

An entry of the same incarnation counts only with a greater number of heartbeat than the last known one, and not at all as ready if it had announced its leave. After a removal it gets work with its next heartbeat, or after 4 s, by which the store would have dropped a silent one again: a heartbeat of which no one knew may also be late. Entries that lapsed in an outage, or that another writer spoiled, need no second heartbeat. Heartbeats that are older than the known one are ignored.

An engine that returns after a cut from the store is used one heartbeat later than before at readers, up to 4 s later at followers.

--- a/src/bench/cores.rs
+++ b/src/bench/cores.rs
@@ -287,6 +287,7 @@
             zone: format!("zone-{}", index % 5).into(),
             slots: 16,
             state: UpstreamState::Ready,
+            sequence: 1,
             warming: Duration::ZERO,
         };
         table.apply(UpstreamUpdate::Listed(entry), now);
--- a/src/core/upstreams/mod.rs
+++ b/src/core/upstreams/mod.rs
@@ -1,6 +1,7 @@
 //! The upstreams listed in the store, their passive health, and the choice of one for a request.
 
 mod choice;
+mod departures;
 mod failures;
 mod health;
 mod index;
@@ -26,6 +27,9 @@
 /// Identifies a block of a prompt; prompts with a common prefix share the ids of its blocks.
 pub type BlockId = Box<str>;
 
+/// Number of a heartbeat; an upstream counts its own from its start.
+pub type EntrySequence = u64;
+
 /// Start time of an upstream in Unix milliseconds, by its own clock.
 pub type StartMillis = u64;
 
@@ -57,10 +61,18 @@
     /// Maximum concurrent requests.
     pub slots: u32,
     pub state: UpstreamState,
+    pub sequence: EntrySequence,
     /// Remaining warm-up time after the start.
     pub warming: Duration,
 }
 
+impl UpstreamEntry {
+    /// Compares all but the number of the heartbeat.
+    pub fn is_same(&self, other: &Self) -> bool {
+        *self == Self { sequence: self.sequence, ..other.clone() }
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PromptBlock {
     pub id: BlockId,
--- a/src/core/upstreams/table.rs
+++ b/src/core/upstreams/table.rs
@@ -5,6 +5,7 @@
 
 use tokio::time::Instant;
 
+use super::departures::{DepartureCause, DepartureLog, ReturnVerdict};
 use super::health::LOAD_DECAY;
 use super::index::ServiceIndex;
 use super::pressure::PressureCache;
@@ -12,7 +13,7 @@
 use super::speed::{ServiceSpeed, UpstreamSpeed};
 use super::{
     AttemptResult, AttemptTiming, BlockId, StartMillis, UpstreamEntry, UpstreamHealth,
-    UpstreamState,
+    UpstreamIncarnation, UpstreamState,
 };
 use crate::core::decay::DecayingSum;
 use crate::core::ids::UpstreamId;
@@ -24,6 +25,10 @@
 /// 20,000 blocks take about 2 MB.
 const MAX_RESIDENT_BLOCKS: usize = 20_000;
 
+/// The store drops the entry of a silent upstream after three heartbeats, so one that stays for longer
+/// was not a late write.
+const PROBATION: Duration = Duration::from_secs(4);
+
 /// Beyond it, start times of upstreams that are no longer listed are dropped. 10,000 take about
 /// 0.5 MB.
 const MAX_START_TIMES: usize = 10_000;
@@ -38,6 +43,8 @@
 pub enum UpstreamUpdate {
     Listed(UpstreamEntry),
     Removed(UpstreamId),
+    /// The row cannot be decoded. Another writer may have written it, so it is no sign of a departure.
+    Undecodable(UpstreamId),
 }
 
 #[derive(Debug)]
@@ -52,6 +59,8 @@
     /// Set if the entry was removed in an outage of the store or shortly after it: the total time of
     /// readability after which the removal takes effect.
     lapses_after: Option<Duration>,
+    /// Set if the upstream had left the list, and until another heartbeat shows that it is alive.
+    unproven_until: Option<Instant>,
 }
 
 impl TrackedUpstream {
@@ -65,12 +74,22 @@
             speed: UpstreamSpeed::default(),
             first_seen: now,
             lapses_after: None,
+            unproven_until: None,
         }
     }
 
     /// Applies an entry of the same incarnation; true if it changes what may be chosen.
     fn refresh(&mut self, entry: UpstreamEntry) -> bool {
-        self.lapses_after = None;
+        // A heartbeat of before the known one may be applied after it. An upstream that drains is
+        // leaving in any case.
+        let is_outdated = entry.sequence < self.entry.sequence;
+        if is_outdated && entry.state == UpstreamState::Ready {
+            return false;
+        }
+        if entry.sequence > self.entry.sequence {
+            self.lapses_after = None;
+            self.unproven_until = None;
+        }
         let changed = self.entry.state != entry.state || self.entry.address != entry.address;
         // Draining is final for an incarnation: a late entry with the earlier state must not undo it.
         if self.entry.state == UpstreamState::Ready {
@@ -87,6 +106,7 @@
     /// Time of the last attempt of this instance, for upstreams used recently.
     pub(super) recent: HashMap<UpstreamId, Instant>,
     readability: StoreReadability,
+    departures: DepartureLog,
     pub(super) resident: HashMap<BlockId, BTreeSet<UpstreamId>>,
     resident_order: VecDeque<BlockId>,
     /// Moving averages in milliseconds.
@@ -106,7 +126,8 @@
     pub fn apply(&mut self, update: UpstreamUpdate, now: Instant) -> bool {
         match update {
             UpstreamUpdate::Listed(entry) => self.list(entry, now),
-            UpstreamUpdate::Removed(id) => self.remove(&id, now),
+            UpstreamUpdate::Removed(id) => self.remove(&id, DepartureCause::Removed, now),
+            UpstreamUpdate::Undecodable(id) => self.remove(&id, DepartureCause::Lapsed, now),
         }
     }
 
@@ -119,7 +140,7 @@
         let gone: Vec<_> =
             self.upstreams.keys().filter(|id| !listed.contains(*id)).cloned().collect();
         for id in gone {
-            self.remove(&id, now);
+            self.remove(&id, DepartureCause::Removed, now);
         }
     }
 
@@ -129,6 +150,7 @@
         }
         if self.starts_incarnation(&entry) {
             self.end_incarnation(&entry.id);
+            self.departures.forget(&entry.id);
         }
         if let Some(started_at) = entry.started_at {
             self.start_times.insert(entry.id.clone(), started_at);
@@ -136,13 +158,23 @@
         }
         match self.upstreams.get_mut(&entry.id) {
             Some(known) => known.refresh(entry),
-            None => {
-                let id = entry.id.clone();
-                self.index.insert(&entry);
-                self.upstreams.insert(id, TrackedUpstream::new(entry, now));
-                true
-            }
+            None => self.add(entry, now),
+        }
+    }
+
+    /// Returns true if the upstream may be chosen.
+    fn add(&mut self, entry: UpstreamEntry, now: Instant) -> bool {
+        let verdict = self.departures.judge(&entry, now);
+        if verdict == ReturnVerdict::Outdated {
+            return false;
         }
+        self.departures.forget(&entry.id);
+        self.index.insert(&entry);
+        let mut tracked = TrackedUpstream::new(entry, now);
+        let is_proven = verdict == ReturnVerdict::Accepted;
+        tracked.unproven_until = (!is_proven).then(|| now + PROBATION);
+        self.upstreams.insert(tracked.entry.id.clone(), tracked);
+        is_proven
     }
 
     fn end_incarnation(&mut self, id: &str) {
@@ -194,7 +226,7 @@
     /// leave no upstream, so removals are deferred until they should have been rewritten. A repeated
     /// removal or another outage does not restart that time, or else troubles that follow each other
     /// would defer a removal without end.
-    fn remove(&mut self, id: &str, now: Instant) -> bool {
+    fn remove(&mut self, id: &str, cause: DepartureCause, now: Instant) -> bool {
         if let Some(grace) = self.readability.grace(now) {
             if let Some(known) = self.upstreams.get_mut(id) {
                 let lapses_after = self.readability.total(now) + grace;
@@ -202,7 +234,15 @@
             }
             return false;
         }
-        self.forget(id).is_some()
+        self.depart(id, cause, now)
+    }
+
+    fn depart(&mut self, id: &str, cause: DepartureCause, now: Instant) -> bool {
+        let former = self.forget(id);
+        if let Some(former) = &former {
+            self.departures.record(&former.entry, cause, now);
+        }
+        former.is_some()
     }
 
     fn forget(&mut self, id: &str) -> Option<TrackedUpstream> {
@@ -218,7 +258,16 @@
     /// An entry that expired in an outage stays available only until it should have been rewritten.
     /// This must not depend on a further update, as the upstream may really be gone.
     pub(super) fn is_available(&self, known: &TrackedUpstream, now: Instant) -> bool {
-        !self.has_lapsed(known, now) && known.entry.state == UpstreamState::Ready
+        let is_proven = known.unproven_until.is_none_or(|until| now >= until);
+        !self.has_lapsed(known, now) && is_proven && known.entry.state == UpstreamState::Ready
+    }
+
+    /// Returns whether a request may be sent to this incarnation. Asked again before it is sent, since
+    /// the upstream may have left after the choice.
+    pub fn accepts_work(&self, incarnation: &UpstreamIncarnation, now: Instant) -> bool {
+        self.upstreams.get(&incarnation.id).is_some_and(|known| {
+            known.entry.started_at == incarnation.started_at && self.is_available(known, now)
+        })
     }
 
     fn has_lapsed(&self, known: &TrackedUpstream, now: Instant) -> bool {
@@ -244,7 +293,7 @@
         let expired = self.upstreams.iter().filter(|(_, known)| self.has_lapsed(known, now));
         let gone: Vec<_> = expired.map(|(id, _)| id.clone()).collect();
         for id in &gone {
-            self.forget(id);
+            self.depart(id, DepartureCause::Lapsed, now);
         }
         gone
     }
--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -263,6 +263,7 @@
         let entry = self.read_entry(&row);
         let update = match &entry {
             Some(entry) => UpstreamUpdate::Listed(entry.clone()),
+            None if row.value.is_some() => UpstreamUpdate::Undecodable(id.clone()),
             None => UpstreamUpdate::Removed(id.clone()),
         };
         let state =
@@ -274,9 +275,16 @@
                 self.is_following()
             );
         }
+        if entry.is_some() && upstreams.get(&id).is_none() {
+            log::info!("event=heartbeat_outdated upstream={id} version={}", row.version);
+            return;
+        }
         // Upstreams rewrite their entries all the time; followers get only those that differ.
         let removed = row.value.is_none();
-        let same = self.last_entries.borrow().get(&id) == Some(&entry);
+        let same = match (self.last_entries.borrow().get(&id), &entry) {
+            (Some(Some(last)), Some(entry)) => last.is_same(entry),
+            (last, entry) => last == Some(entry),
+        };
         if same && !removed {
             return;
         }
--- a/tests/engine_speeds.rs
+++ b/tests/engine_speeds.rs
@@ -21,6 +21,7 @@
             zone: "zone".into(),
             slots: 8,
             state: UpstreamState::Ready,
+            sequence: 1,
             warming: Duration::ZERO,
         };
         table.apply(UpstreamUpdate::Listed(entry), Instant::now());
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -202,6 +202,7 @@
                     zone: "zone".into(),
                     slots: SLOTS as u32,
                     state: UpstreamState::Ready,
+                    sequence: 1,
                     warming: Duration::ZERO,
                 };
                 table.apply(UpstreamUpdate::Listed(entry), now);
--- a/tests/shared_failures.rs
+++ b/tests/shared_failures.rs
@@ -25,6 +25,7 @@
             zone: if id == "a" { "near" } else { "far" }.into(),
             slots: 8,
             state: UpstreamState::Ready,
+            sequence: 1,
             warming: Duration::ZERO,
         };
         table.apply(UpstreamUpdate::Listed(entry), Instant::now());
