Look at the list again before a request is sent to its upstream

A stream that was interrupted went back to its engine, as its route allows no other one, without a look at the list: an engine that had announced its leave seconds before got the request. Between the choice of an upstream and the first byte to it also lie connects (0.4 s at the most).

All ways to an upstream lead through attempt_upstream, which now asks the table once more after the connection is there. If the upstream has left, another one gets the request where the route allows it; else the caller is told at once.

A withdrawn attempt is logged and counted (attempt_withdrawn, gateway_withdrawn_attempts). Each call's line tells the version and age of the list with which it was sent and whether a reader sent it; a histogram has the ages (gateway_upstream_list_age_seconds).

--- a/src/core/upstreams/health.rs
+++ b/src/core/upstreams/health.rs
@@ -35,6 +35,8 @@
     /// The caller disconnected or its deadline passed. Counts as a failure only if the first byte
     /// was overdue.
     Abandoned,
+    /// Not sent, because the upstream left after it had been chosen.
+    Withdrawn,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -104,7 +106,7 @@
                     self.fail(true, now);
                 }
             }
-            AttemptResult::Abandoned => {}
+            AttemptResult::Abandoned | AttemptResult::Withdrawn => {}
         }
     }
 
--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -159,6 +159,8 @@
                     );
                     if result == AttemptResult::Unreachable {
                         progress.record_unreachable(&choice);
+                    } else if is_pinned && result == AttemptResult::Withdrawn {
+                        return Err(Refusal::unknown(StatusCode::BAD_GATEWAY, "upstream_left"));
                     } else if is_pinned {
                         sleep(UPSTREAM_RETRY_INTERVAL).await;
                         pinned = self.plan_rerun(call, &choice, tried, progress)?;
@@ -300,6 +302,7 @@
             guard.record(AttemptResult::Unreachable);
             AttemptError::NotRun(AttemptResult::Unreachable)
         })?;
+        self.check_upstream(call, choice, progress, &guard)?;
         let sent_at = Instant::now();
         guard.record_sent();
         let head = self.attempt_head(call, choice, progress);
@@ -333,6 +336,36 @@
         Ok(UpstreamAnswer { choice: choice.clone(), connection, head, info, body, guard, sent_at })
     }
 
+    /// Withdraws a request whose upstream has left since it was chosen. All ways to an upstream lead
+    /// through here: connects, reruns and pauses between attempts take time.
+    fn check_upstream(
+        &self,
+        call: &CallContext,
+        choice: &UpstreamChoice,
+        progress: &AttemptProgress,
+        guard: &AttemptGuard,
+    ) -> Result<(), AttemptError> {
+        let list = self.feed.list_state();
+        progress.list_state.set(list);
+        if self.feed.upstreams.borrow().accepts_work(&choice.incarnation(), Instant::now()) {
+            self.metrics.record_list_age(list.age);
+            return Ok(());
+        }
+        log::info!(
+            "event=attempt_withdrawn request={} upstream={} service={} list_version={} list_ms={} \
+             led={}",
+            call.id,
+            choice.id,
+            call.service,
+            list.version,
+            list.age.as_millis(),
+            list.is_led
+        );
+        self.metrics.record_withdrawn(&call.service);
+        guard.record(AttemptResult::Withdrawn);
+        Err(AttemptError::NotRun(AttemptResult::Withdrawn))
+    }
+
     /// Buffers the response to an idempotent request, so that a truncated one can be retried before
     /// the caller has received any of it.
     async fn buffer_body(
--- a/src/gateway/attempt/progress.rs
+++ b/src/gateway/attempt/progress.rs
@@ -6,6 +6,7 @@
 use crate::core::repeats::SentUpstreams;
 use crate::core::upstreams::UpstreamChoice;
 use crate::gateway::events::EventId;
+use crate::gateway::feed::UpstreamListState;
 
 #[derive(Default)]
 pub(crate) struct AttemptProgress {
@@ -21,6 +22,8 @@
     pub(crate) maybe_running: Cell<bool>,
     /// Upstreams that may have run the request.
     pub(crate) sent: RefCell<SentUpstreams>,
+    /// The list of upstreams as of the latest attempt.
+    pub(crate) list_state: Cell<UpstreamListState>,
     pub(super) connect_failures: Cell<u32>,
     pub(crate) same_upstream_reruns: Cell<u32>,
     /// The last event forwarded to the caller; a resumed stream continues after it.
--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -120,6 +120,7 @@
 
     fn record_end(&self, call: &CallContext, end: &CallEnd, progress: &AttemptProgress) {
         let elapsed = call.arrived.elapsed();
+        let list = progress.list_state.get();
         let sample = CallSample {
             route: &call.route.name,
             outcome: end.outcome,
@@ -132,7 +133,7 @@
         log::info!(
             "event=call_ended request={} program={} route={} kind={} outcome={} status={} \
              upstream={} tries={} runs={} coordinator={} claimed_ms={} sent_ms={} first_ms={} \
-             ms={} fingerprint={} workspace={}",
+             ms={} fingerprint={} workspace={} list_version={} list_ms={} led={}",
             call.id,
             call.program_name(),
             call.route.name,
@@ -149,6 +150,9 @@
             elapsed.as_millis(),
             call.fingerprint,
             call.workspace_name(),
+            list.version,
+            list.age.as_millis(),
+            list.is_led,
         );
     }
 
--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -40,6 +40,16 @@
 /// route is denied. It is shorter than the time in which a new route must be in force.
 const FRESH_ROUTES_MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// What an instance knew of the upstreams when it sent a request.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct UpstreamListState {
+    pub(crate) version: RowVersion,
+    /// Time since the request to the store that last confirmed the list.
+    pub(crate) age: Duration,
+    /// The list came from a reader.
+    pub(crate) is_led: bool,
+}
+
 /// Is told of upstreams that ended without having announced it.
 pub(crate) trait UpstreamListener {
     fn upstreams_ended(self: Rc<Self>, ended: &[LoadKey]);
@@ -123,6 +133,15 @@
         self.upstreams_loaded.get() && self.routes.borrow().current().is_some()
     }
 
+    pub(crate) fn list_state(&self) -> UpstreamListState {
+        let log = self.upstream_log.borrow();
+        UpstreamListState {
+            version: log.head(),
+            age: log.age().unwrap_or_default(),
+            is_led: self.is_following(),
+        }
+    }
+
     pub(crate) fn is_following(&self) -> bool {
         self.following.get()
     }
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -133,6 +133,8 @@
     retries: Counter<u64>,
     refusals: Counter<u64>,
     stopped: Counter<u64>,
+    withdrawn: Counter<u64>,
+    list_age_seconds: Histogram<f64>,
     loss_records: Gauge<u64>,
     call_seconds: Histogram<f64>,
     first_byte_seconds: Histogram<f64>,
@@ -173,6 +175,8 @@
             retries: meter.u64_counter("gateway_retries").build(),
             refusals: meter.u64_counter("gateway_refusals").build(),
             stopped: meter.u64_counter("gateway_stopped_requests").build(),
+            withdrawn: meter.u64_counter("gateway_withdrawn_attempts").build(),
+            list_age_seconds: histogram("gateway_upstream_list_age_seconds"),
             loss_records: meter.u64_gauge("gateway_loss_records").build(),
             call_seconds: histogram("gateway_call_seconds"),
             first_byte_seconds: histogram("gateway_first_byte_seconds"),
@@ -218,6 +222,16 @@
         }
     }
 
+    /// Records a request that was not sent to the upstream chosen for it, as that has left.
+    pub(crate) fn record_withdrawn(&self, service: &str) {
+        self.withdrawn.add(1, &[KeyValue::new("service", service.to_owned())]);
+    }
+
+    /// Records the age of the list of upstreams with which a request is sent.
+    pub(crate) fn record_list_age(&self, age: Duration) {
+        self.list_age_seconds.record(age.as_secs_f64(), &[]);
+    }
+
     pub(crate) fn record_refusal(&self, reason: &'static str) {
         self.refusals.add(1, &[KeyValue::new("reason", reason)]);
     }
