Bound the bytes of response heads and of the framing of bodies

A caller waited for its deadline where an upstream sent bytes without end that never became a response: interim responses, zeros before a chunk size, or a chunk extension. The codec discards these without a limit, so memory stayed flat but the attempt did not end. A status line and headers were bounded by the codec, buffered bodies at 4 MB.

A head may have 128 KiB with its interim responses, and the framing between two pieces of a body 64 KiB. Beyond that the connection is closed and the attempt counts as broken: an idempotent call goes to another upstream, one that runs once gets a 502.

A streamed body without end is still forwarded until the deadline of the call, under the caller's back pressure.

--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -15,6 +15,12 @@
 
 use super::codec_config;
 
+/// Maximum size of a response head, interim responses included.
+const MAX_HEAD_BYTES: usize = 128 * 1024;
+/// Maximum size of the framing between two pieces of a chunked body. The codec discards chunk
+/// extensions and zeros before a chunk size without a limit.
+const MAX_FRAMING_BYTES: usize = 64 * 1024;
+
 /// The request may have run.
 #[derive(Debug, Display, Error, From)]
 pub(crate) enum AnswerError {
@@ -85,6 +91,7 @@
 
     /// Sends the queued request and reads the head of the response.
     pub(crate) async fn head(&mut self) -> Result<ResponseHead, AnswerError> {
+        let mut received = 0;
         loop {
             let codec = self.codec.as_mut().expect("no answer is being read");
             let decoded = codec.decode(&mut self.input)?;
@@ -94,8 +101,13 @@
                     self.expect_body(&head);
                     return Ok(head);
                 }
-                None if self.read_more().await? == 0 => return Err(AnswerError::Ended),
-                None => {}
+                None => match self.read_more().await? {
+                    0 => return Err(AnswerError::Ended),
+                    count => received += count,
+                },
+            }
+            if received > MAX_HEAD_BYTES {
+                return Err(AnswerError::Malformed(ParseError::TooLarge));
             }
         }
     }
@@ -121,6 +133,7 @@
 
     /// Returns none at the end of the body.
     pub(crate) async fn chunk(&mut self) -> Result<Option<Bytes>, AnswerError> {
+        let mut received = 0;
         loop {
             match &mut self.body {
                 BodyState::Done => return Ok(None),
@@ -137,7 +150,12 @@
                     None => {}
                 },
             }
-            if self.read_more().await? == 0 {
+            if received > MAX_FRAMING_BYTES {
+                return Err(AnswerError::BadBody(PayloadError::Overflow));
+            }
+            let count = self.read_more().await?;
+            received += count;
+            if count == 0 {
                 let clean = matches!(self.body, BodyState::UntilEnd);
                 self.body = BodyState::Done;
                 return if clean { Ok(None) } else { Err(AnswerError::Ended) };
--- a/tests/platform_standin/engine.rs
+++ b/tests/platform_standin/engine.rs
@@ -46,6 +46,39 @@
     Stream(String),
     /// Interrupts an event stream after this text.
     CutText(&'static str),
+    /// Sends bytes that are no complete response, without end.
+    Endless(EndlessPart),
+}
+
+/// The part of a response that never ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndlessPart {
+    StatusLine,
+    Header,
+    Headers,
+    InterimResponses,
+    Body,
+    ChunkSize,
+    ChunkExtension,
+}
+
+impl EndlessPart {
+    /// The beginning, and what follows it again and again.
+    fn steps(self, head: &str) -> Vec<Step> {
+        let ok = format!("HTTP/1.1 200 OK\r\n{head}");
+        let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
+        let fill = "x".repeat(4_096);
+        let (begin, repeated) = match self {
+            Self::StatusLine => ("HTTP/1.1 200 ".into(), fill),
+            Self::Header => (format!("{ok}x-fill: "), fill),
+            Self::Headers => (ok, format!("x-fill: {fill}\r\n")),
+            Self::InterimResponses => (String::new(), "HTTP/1.1 100 Continue\r\n\r\n".repeat(100)),
+            Self::Body => (format!("{ok}\r\n"), fill),
+            Self::ChunkSize => (chunked, "0".repeat(4_096)),
+            Self::ChunkExtension => (format!("{chunked}1;"), fill),
+        };
+        vec![Step::Send(begin.into()), Step::Repeat(repeated.into())]
+    }
 }
 
 /// What happens to an engine while it runs a request.
@@ -303,6 +336,7 @@
             Some(EngineAct::CutText(text)) => {
                 vec![Step::Send(text_stream(&head, text)), Step::Close]
             }
+            Some(EngineAct::Endless(part)) => part.steps(&head),
             _ if is_stream => vec![Step::Send(events(EVENTS, true))],
             _ => vec![answer(200, &head, b"done")],
         }
--- a/tests/platform_standin/http.rs
+++ b/tests/platform_standin/http.rs
@@ -46,6 +46,8 @@
 pub enum Step {
     Send(Vec<u8>),
     Pause(Duration),
+    /// Sends this until the peer closes the connection.
+    Repeat(Vec<u8>),
     Close,
     /// Never responds, and keeps the connection open.
     Hang,
@@ -77,6 +79,7 @@
                     match step {
                         Step::Send(bytes) if wire.send(&bytes).await => {}
                         Step::Pause(pause) => sleep(pause).await,
+                        Step::Repeat(bytes) => while wire.send(&bytes).await {},
                         Step::Hang => std::future::pending().await,
                         Step::Send(_) | Step::Close => return,
                     }
