--- a/src/core/members/dissemination.rs
+++ b/src/core/members/dissemination.rs
@@ -143,7 +143,7 @@
     }
 }
 
-/// Callers and peers go on using a member that stops serving until they hear of it, so such news
+/// Callers and peers go on using a member that stops serving until they hear of it, so such updates
 /// must not wait behind the joins of a mass start. A refutation must be as fast as the suspicion.
 fn is_urgent(known: &MemberInfo, update: &MemberInfo) -> bool {
     let is_withdrawn = update.http_address.is_empty() && !known.http_address.is_empty();
--- a/src/gateway/feed/leaving_tests.rs
+++ b/src/gateway/feed/leaving_tests.rs
@@ -1,6 +1,7 @@
-//! Guards against an upstream that gets work after it has left, as the news comes late, is put off or
-//! is undone by older news.
+//! Guards against an upstream that gets work after it has left, as its removal is seen late, is
+//! deferred, or is undone by an older row.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -132,7 +133,9 @@
 }
 
 struct FixedReader {
+    /// Empty for an instance that has another name in each reply, so that no way leads through it.
     instance: InstanceId,
+    asked: Cell<usize>,
     reader: Box<str>,
 }
 
@@ -146,7 +149,11 @@
     }
 
     fn instance(&self) -> InstanceId {
-        self.instance.clone()
+        if !self.instance.is_empty() {
+            return self.instance.clone();
+        }
+        self.asked.set(self.asked.get() + 1);
+        format!("{}-{}", self.reader, self.asked.get()).into()
     }
 }
 
@@ -165,7 +172,8 @@
     let dialect: Rc<dyn GatewayDialect> = Rc::new(TestDialect);
     let meter = GatewayMetrics::new(instance).store_meter();
     let store = StoreLink::new("127.0.0.1:1", pool.clone(), dialect.clone(), true, meter);
-    let readers = FixedReader { instance: instance.into(), reader: reader.into() };
+    let readers =
+        FixedReader { instance: instance.into(), asked: Cell::new(0), reader: reader.into() };
     let feed = ChangeFeed::new(Rc::new(store), pool, dialect, Some(Rc::new(readers)));
     feed.replace_routes(vec![row("routes", "r", 1, Some(""))], 10, ClockMark::now());
     feed.replace_upstreams(vec![upstream(9, Some("ready"))], 10, Instant::now());
@@ -281,6 +289,21 @@
 #[case::ring(3)]
 #[actix_rt::test]
 async fn instances_that_follow_each_other_turn_to_the_store(#[case] size: usize) {
+    let feeds = start_cycle(size, |number| format!("instance-{number}")).await;
+    timeout(MAX_WORK_AFTER_LEAVE, someone_reads(&feeds))
+        .await
+        .expect("not all wait for each other");
+}
+
+/// Guards against instances that follow each other without end, where no reply names its way.
+#[actix_rt::test]
+async fn cycle_without_names_ends_by_the_age_of_its_data() {
+    let feeds = start_cycle(2, |_| String::new()).await;
+    timeout(MAX_WORK_AFTER_LEAVE * 2, someone_reads(&feeds)).await.expect("its data is old");
+}
+
+/// Each instance follows the next one.
+async fn start_cycle(size: usize, name: impl Fn(usize) -> String) -> Vec<Rc<ChangeFeed>> {
     let mut listeners = Vec::new();
     for _ in 0..size {
         listeners.push(TcpListener::bind("127.0.0.1:0").await.expect("a free port"));
@@ -289,9 +312,8 @@
         .iter()
         .map(|listener| listener.local_addr().expect("it is bound").to_string())
         .collect();
-    let feeds: Vec<_> = (0..size)
-        .map(|number| feed(&format!("instance-{number}"), &addresses[(number + 1) % size]))
-        .collect();
+    let feeds: Vec<_> =
+        (0..size).map(|number| feed(&name(number), &addresses[(number + 1) % size])).collect();
     for (listener, feed) in listeners.into_iter().zip(&feeds) {
         serve(listener, feed);
     }
@@ -299,10 +321,11 @@
         actix_rt::spawn(feed.clone().follow_readers());
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    let someone_reads = async {
-        while feeds.iter().all(|feed| feed.is_following()) {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    timeout(MAX_WORK_AFTER_LEAVE, someone_reads).await.expect("not all wait for each other");
+    feeds
+}
+
+async fn someone_reads(feeds: &[Rc<ChangeFeed>]) {
+    while feeds.iter().all(|feed| feed.is_following()) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
 }
--- a/src/gateway/feed/reader.rs
+++ b/src/gateway/feed/reader.rs
@@ -176,7 +176,7 @@
     pub(super) fn apply_reply(&self, reply: WatchReply, requested: ClockMark) {
         let replied_at = requested.steady() + reply.held.min(requested.steady().elapsed());
         let before = |age: Duration| replied_at.checked_sub(age).unwrap_or(requested.steady());
-        if let Some(recovered) = reply.recovered.filter(|_| self.has_missed_news(reply.hops)) {
+        if let Some(recovered) = reply.recovered.filter(|_| self.has_feed_gap()) {
             self.upstreams.borrow_mut().record_store_recovery(before(recovered));
         }
         self.hops.set(reply.hops + 1);
@@ -193,11 +193,10 @@
         }
     }
 
-    /// Returns true if no news came for longer than readers that reach the store leave between two
-    /// replies. Otherwise a recovery that the reader reports is one of its own way to the store, and
+    /// Returns true if no reply came for longer than a reader that reaches the store takes. Otherwise a recovery that the reader reports is one of its own way to the store, and
     /// no entry has lapsed.
-    fn has_missed_news(&self, hops: u32) -> bool {
-        let longest = max_age_after(hops) + HOLD_TIMEOUT + REPLY_TIMEOUT;
+    fn has_feed_gap(&self) -> bool {
+        let longest = MAX_AGE + HOLD_TIMEOUT + REPLY_TIMEOUT;
         self.upstream_log.borrow().age().is_none_or(|age| age > longest)
     }
 
--- a/tests/member_deaths.rs
+++ b/tests/member_deaths.rs
@@ -159,3 +159,34 @@
     println!("members={size} elapsed_ms={}", elapsed.as_millis());
     assert!(elapsed < MAX_UNLISTED_DELAY, "{elapsed:?}");
 }
+
+fn tells_suspicion(action: &MemberAction, suspect: &str) -> bool {
+    let MemberAction::Send { to, message } = action else { return false };
+    let mut updates = message.updates.iter();
+    **to == *format!("{suspect}:3") && updates.any(|update| *update.instance == *suspect)
+}
+
+/// Guards against a living member that is declared dead because it never hears of the suspicion.
+#[tokio::test(start_paused = true)]
+async fn suspect_is_told_of_its_suspicion_until_it_is_dead() {
+    let me = info("me", 1, MemberState::Alive);
+    let mut now = Instant::now();
+    let mut table = MemberTable::new(MemberSettings::default(), me, 7, now);
+    // So many that the probes seldom come to the suspect again.
+    let silent = (0..100).map(|number| info(&format!("s{number}"), 5, MemberState::Alive));
+    table.receive(&message(silent.collect()), now);
+    let mut suspect = None;
+    let mut told = 0;
+    for _ in 0..25 {
+        now += Duration::from_millis(100);
+        let sent = table.tick(now);
+        let first = table.iter().find(|member| member.state.is_suspect());
+        let first = suspect.get_or_insert(first.map(|member| member.instance.clone()));
+        match first {
+            Some(name) => told += sent.iter().filter(|it| tells_suspicion(it, name)).count(),
+            None => suspect = None,
+        }
+    }
+    // With the suspicion, and in each probe interval until it is dead.
+    assert!(told >= 3, "told {told} times");
+}
