Ignore store calls that time out in a pause of the process

Its log shows the cause: the calls to the store that were under way had passed their deadline when the process resumed, timers fire before sockets are read, and the instance took this for an outage of the store.

Ruled out: polling the answer before the timer (tried, still fails), since the socket has not been read when the timer fires.

A tick that is overdue by more than 200 ms shows a pause, or a lack of processor time; failures of calls that began before it count neither for the store nor for the direct path. A true outage shows by the calls that begin after it. The pause is logged as process_resumed.

--- a/src/gateway/store/health.rs
+++ b/src/gateway/store/health.rs
@@ -33,6 +33,9 @@
 /// so even if half of them are refused, one is answered about every 40 ms.
 const OVER_RATE_MAX_AGE: Duration = Duration::from_millis(300);
 
+/// A process whose timers are later than this has been paused or lacked processor time.
+const MAX_TICK_DELAY: Duration = Duration::from_millis(200);
+
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StoreHealth {
     latency: LatencyEstimate,
@@ -44,6 +47,11 @@
     /// Time of the last answer over any path.
     answered_at: Option<Instant>,
     over_rate_at: Option<Instant>,
+    /// Time of the last tick, and the time from it to the next one.
+    ticked_at: Option<Instant>,
+    tick_interval: Duration,
+    /// Time of the first tick after a pause of the process.
+    resumed_at: Option<Instant>,
 }
 
 impl Default for StoreHealth {
@@ -55,6 +63,9 @@
             direct_answered_at: None,
             answered_at: None,
             over_rate_at: None,
+            ticked_at: None,
+            tick_interval: Duration::ZERO,
+            resumed_at: None,
         }
     }
 }
@@ -88,6 +99,28 @@
         (answered && self.unavailable_since.is_none()).then(|| since.elapsed())
     }
 
+    /// Records that the process runs; it does so again after `interval` unless it is paused.
+    pub(super) fn record_tick(&mut self, interval: Duration) {
+        let now = Instant::now();
+        if self.is_tick_overdue() {
+            log::info!("event=process_resumed");
+            self.resumed_at = Some(now);
+        }
+        self.ticked_at = Some(now);
+        self.tick_interval = interval;
+    }
+
+    fn is_tick_overdue(&self) -> bool {
+        let longest = self.tick_interval + MAX_TICK_DELAY;
+        self.ticked_at.is_some_and(|at| at.elapsed() > longest)
+    }
+
+    /// Timeouts of calls that span a pause of the process say nothing about the store. Taken for an outage,
+    /// they would defer the removal of upstreams that left meanwhile.
+    fn was_paused_since(&self, begun: Instant) -> bool {
+        self.is_tick_overdue() || self.resumed_at.is_some_and(|at| at >= begun)
+    }
+
     pub(super) fn record_answer(&mut self) {
         self.answered_at = Some(Instant::now());
     }
@@ -108,7 +141,7 @@
     /// not divert all calls to peers.
     pub(super) fn record_direct_failure(&mut self, begun: Instant, error: &StoreError) {
         let answered = self.direct_answered_at.is_some_and(|at| at >= begun);
-        if answered || self.direct_failed_at.is_some() {
+        if answered || self.direct_failed_at.is_some() || self.was_paused_since(begun) {
             return;
         }
         self.direct_failed_at = Some(Instant::now());
@@ -134,7 +167,8 @@
     /// unavailable by it.
     pub(super) fn record_failure(&mut self, begun: Instant) -> bool {
         let answered = self.answered_at.is_some_and(|at| at >= begun);
-        if answered || self.unavailable_since.is_some() || self.is_over_rate() {
+        let is_known = self.unavailable_since.is_some();
+        if answered || is_known || self.is_over_rate() || self.was_paused_since(begun) {
             return false;
         }
         self.unavailable_since = Some(Instant::now());
--- a/src/gateway/store/mod.rs
+++ b/src/gateway/store/mod.rs
@@ -2,6 +2,8 @@
 //! reach the store.
 
 mod health;
+#[cfg(test)]
+mod health_tests;
 mod paths;
 mod relay;
 mod relay_order;
@@ -190,6 +192,7 @@
     pub(crate) async fn watch(self: Rc<Self>) {
         let mut next_direct_probe = Instant::now();
         loop {
+            self.health.borrow_mut().record_tick(PROBE_INTERVAL);
             sleep(PROBE_INTERVAL).await;
             let direct_unavailable = self.health.borrow().is_direct_unavailable();
             if self.outage().is_some() {
