Wait for an overdue list of upstreams before a request is sent

A process that resumed from a pause sent its first requests by the list of before: to an upstream that had announced its leave 3 s ago, or whose entry was gone. Requests of open connections are read before the change feed has an answer. The check before the send asked the table, which did not know either. The same happens to an instance that lacks processor time.

A request whose list was last confirmed longer ago than readers that reach the store take (2.05 s) now waits for the next confirmation before it is sent, 0.5 s at the most, and not while the store is unavailable, as no news can come. After a pause it takes some milliseconds. It is logged as list_awaited.

The settings of a test gateway, and the reader of an address from the log, are shared by the tests that start real processes.

--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -302,6 +302,7 @@
             guard.record(AttemptResult::Unreachable);
             AttemptError::NotRun(AttemptResult::Unreachable)
         })?;
+        self.await_fresh_list(call, choice).await;
         self.check_upstream(call, choice, progress, &guard)?;
         let sent_at = Instant::now();
         guard.record_sent();
@@ -336,6 +337,20 @@
         Ok(UpstreamAnswer { choice: choice.clone(), connection, head, info, body, guard, sent_at })
     }
 
+    /// A process that resumes, or lacks processor time, knows the upstreams as they were before.
+    async fn await_fresh_list(&self, call: &CallContext, choice: &UpstreamChoice) {
+        let Some(waited) = self.feed.await_fresh_list().await else { return };
+        let list = self.feed.list_state();
+        log::info!(
+            "event=list_awaited request={} upstream={} service={} waited_ms={} list_ms={}",
+            call.id,
+            choice.id,
+            call.service,
+            waited.as_millis(),
+            list.age.as_millis()
+        );
+    }
+
     /// Withdraws a request whose upstream has left since it was chosen. All ways to an upstream lead
     /// through here: connects, reruns and pauses between attempts take time.
     fn check_upstream(
--- a/src/gateway/feed/leaving_tests.rs
+++ b/src/gateway/feed/leaving_tests.rs
@@ -266,6 +266,24 @@
     assert!(!gets_work(&feed));
 }
 
+/// Guards against work that is sent by what was known before a pause of the process.
+#[tokio::test(start_paused = true)]
+async fn overdue_list_is_awaited_for_a_limited_time() {
+    let feed = feed("a", "127.0.0.1:1");
+    assert_eq!(feed.await_fresh_list().await, None, "it is fresh");
+    advance(Duration::from_secs(3)).await;
+    let update = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        feed.update_upstreams(vec![upstream(12, None)], 12, Instant::now());
+    };
+    let (waited, ()) = tokio::join!(feed.await_fresh_list(), update);
+    assert_eq!(waited, Some(Duration::from_millis(20)));
+    assert!(!gets_work(&feed));
+    advance(Duration::from_secs(3)).await;
+    let waited = feed.await_fresh_list().await.expect("it is overdue");
+    assert!(waited <= MAX_WORK_AFTER_LEAVE / 2, "{waited:?} without news");
+}
+
 /// Serves the feed to followers, at its address.
 fn serve(listener: TcpListener, feed: &Rc<ChangeFeed>) {
     let feed = feed.clone();
--- a/src/gateway/feed/mod.rs
+++ b/src/gateway/feed/mod.rs
@@ -19,7 +19,7 @@
 use std::time::Duration;
 
 use tokio::sync::{Mutex, Notify};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use self::change_log::ChangeLog;
 use super::dialect::GatewayDialect;
@@ -40,6 +40,10 @@
 /// route is denied. It is shorter than the time in which a new route must be in force.
 const FRESH_ROUTES_MAX_AGE: Duration = Duration::from_millis(1_500);
 
+/// How long a request waits for an overdue list of upstreams. Reading the store takes some milliseconds
+/// after a pause; if it takes longer, the store or the readers are in trouble of their own.
+const STALE_LIST_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// What an instance knew of the upstreams when it sent a request.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct UpstreamListState {
@@ -70,6 +74,8 @@
     rejected: RefCell<BTreeMap<UpstreamId, RowVersion>>,
     route_log: RefCell<ChangeLog>,
     upstream_log: RefCell<ChangeLog>,
+    /// Notified when the store or a reader has confirmed the list of upstreams.
+    confirmed: Notify,
     /// Wakes requests of followers.
     changed: Notify,
     /// While set, a reader provides the feed and this instance does not read the store.
@@ -104,6 +110,7 @@
             rejected: RefCell::default(),
             route_log: RefCell::default(),
             upstream_log: RefCell::default(),
+            confirmed: Notify::new(),
             changed: Notify::new(),
             following: Cell::new(false),
             hops: Cell::new(0),
@@ -259,6 +266,7 @@
         self.handle_ended(&mut upstreams);
         self.upstreams_loaded.set(true);
         self.upstream_log.borrow_mut().replace(rows, head, requested);
+        self.confirmed.notify_waiters();
         self.changed.notify_waiters();
     }
 
@@ -275,6 +283,30 @@
         }
         self.handle_ended(&mut upstreams);
         self.upstream_log.borrow_mut().advance(head, requested);
+        self.confirmed.notify_waiters();
+    }
+
+    /// Waits a moment for the list of upstreams to be confirmed if that is overdue, as after a pause of the
+    /// process. Returns the time waited; `None` if the list is fresh, or if the store is unavailable, so
+    /// that nothing can confirm it.
+    pub(crate) async fn await_fresh_list(&self) -> Option<Duration> {
+        if !self.is_list_overdue() {
+            return None;
+        }
+        let begun = Instant::now();
+        let deadline = begun + STALE_LIST_TIMEOUT;
+        while self.is_list_overdue() && Instant::now() < deadline {
+            tokio::select! {
+                () = self.confirmed.notified() => {}
+                () = self.store.unreachable() => {}
+                () = sleep_until(deadline) => {}
+            }
+        }
+        Some(begun.elapsed())
+    }
+
+    fn is_list_overdue(&self) -> bool {
+        self.has_feed_gap() && self.store.outage().is_none()
     }
 
     fn update_upstream(&self, upstreams: &mut UpstreamTable, row: StoredRow, now: Instant) {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -16,7 +16,7 @@
 use platform_standin::{Deployment, budgeted_turn, call, from, keyed, limited, wait_until};
 use serde_json::{Value, json};
 use tokio::time::timeout;
-use workdir::WorkDir;
+use workdir::{WorkDir, logged_address};
 
 /// A gateway process that logs to a file.
 struct GatewayProcess {
@@ -75,13 +75,6 @@
     dir.file("settings.json", &settings.to_string())
 }
 
-/// Returns an address from the `event=started` line.
-fn logged_address(log: &str, field: &str) -> String {
-    let line = log.lines().find(|line| line.contains("event=started"));
-    let rest = line.and_then(|line| line.split(field).nth(1)).expect("the address is logged");
-    rest.split_whitespace().next().expect("an address follows").to_owned()
-}
-
 impl GatewayProcess {
     async fn start(name: &str, store: &str) -> Self {
         let dir = WorkDir::new(name);
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -54,17 +54,7 @@
         overrides: &Value,
     ) -> Self {
         let seeds: Vec<&str> = seeds.iter().map(|seed| &*seed.settings.peer_address).collect();
-        let any = format!("{ip}:0");
-        let mut text = json!({
-            "instance": Self::instance(ip), "zone": "zone-a", "region": "region",
-            "caller_address": any, "ready_address": any, "directory_address": any,
-            "peer_address": any, "gossip_port": gossip_port, "seeds": seeds,
-            "store_address": store, "store_row_bytes": 65536, "store_across_parts": true, "memory_mb": 130,
-            "grace_seconds": 8, "address_keep_seconds": 0.3,
-        });
-        for (key, value) in overrides.as_object().expect("an object") {
-            text[key] = value.clone();
-        }
+        let text = gateway_settings(ip, store, gossip_port, &seeds, overrides);
         let mut settings = GatewaySettings::parse(&text.to_string()).expect("valid settings");
         let (end, ended) = oneshot::channel();
         let (bound, addresses) = mpsc::channel();
@@ -157,6 +147,28 @@
     }
 }
 
+/// Settings of a gateway at this IP.
+pub fn gateway_settings(
+    ip: &str,
+    store: &str,
+    gossip_port: u16,
+    seeds: &[&str],
+    overrides: &Value,
+) -> Value {
+    let any = format!("{ip}:0");
+    let mut settings = json!({
+        "instance": TestGateway::instance(ip), "zone": "zone-a", "region": "region",
+        "caller_address": any, "ready_address": any, "directory_address": any,
+        "peer_address": any, "gossip_port": gossip_port, "seeds": seeds,
+        "store_address": store, "store_row_bytes": 65536, "store_across_parts": true,
+        "memory_mb": 130, "grace_seconds": 8, "address_keep_seconds": 0.3,
+    });
+    for (key, value) in overrides.as_object().expect("an object") {
+        settings[key] = value.clone();
+    }
+    settings
+}
+
 async fn exchange(address: &str, request: &str) -> Option<RawMessage> {
     let exchange = async {
         let mut wire = Wire::connect(address).await;
--- a/tests/workdir/mod.rs
+++ b/tests/workdir/mod.rs
@@ -88,13 +88,20 @@
 
 /// An address of the loopback range that no other test uses, so that ports need not be sought: a
 /// port found free may be taken by another test before the process it was meant for opens it.
-fn own_ip() -> String {
+pub fn own_ip() -> String {
     static NEXT: AtomicU32 = AtomicU32::new(2);
     let process = std::process::id();
     let (high, low) = (process / 250 % 250 + 1, process % 250 + 1);
     format!("127.{high}.{low}.{}", NEXT.fetch_add(1, Ordering::Relaxed))
 }
 
+/// Returns an address from the `event=started` line.
+pub fn logged_address(log: &str, field: &str) -> String {
+    let line = log.lines().find(|line| line.contains("event=started"));
+    let rest = line.and_then(|line| line.split(field).nth(1)).expect("the address is logged");
+    rest.split_whitespace().next().expect("an address follows").to_owned()
+}
+
 /// A platform, an engine and some instances, each a process.
 pub struct Deployment {
     pub dir: WorkDir,
