Use the detector of pauses that was there, and hold the pause to a stricter test

The store's health had its own measure of a late timer beside that of the shared load, with another constant, and looked at one clock alone: a suspended machine stops the steady clock. It uses ClockMark now, and both share MAX_TIMER_DELAY (250 ms; 200 ms before).

--- a/src/gateway/feed/reader.rs
+++ b/src/gateway/feed/reader.rs
@@ -193,8 +193,8 @@
         }
     }
 
-    /// Returns true if no reply came for longer than a reader that reaches the store takes. Otherwise a recovery that the reader reports is one of its own way to the store, and
-    /// no entry has lapsed.
+    /// Returns true if no reply came for longer than a reader that reaches the store takes. Otherwise a
+    /// recovery that the reader reports is one of its own way to the store, and no entry has lapsed.
     pub(super) fn has_feed_gap(&self) -> bool {
         let longest = MAX_AGE + HOLD_TIMEOUT + REPLY_TIMEOUT;
         self.upstream_log.borrow().age().is_none_or(|age| age > longest)
--- a/src/gateway/load/task.rs
+++ b/src/gateway/load/task.rs
@@ -9,13 +9,11 @@
 use super::{LoadMember, SharedLoad};
 use crate::core::load::{AggregatorRank, LoadMessage, LoadSummary, TotalsSize, encode_summary};
 use crate::gateway::members::LoadListener;
-use crate::util::pause::ClockMark;
+use crate::util::pause::{ClockMark, MAX_TIMER_DELAY};
 
 /// Members that become ready are not counted as changes of membership, so the aggregators are chosen
 /// again at this interval.
 const ROLES_INTERVAL: Duration = Duration::from_millis(500);
-/// A timer that is later than this means that the process was paused.
-const MAX_TIMER_DELAY: Duration = Duration::from_millis(250);
 /// Time in which the datagrams that were queued during a pause are read.
 const QUEUE_DRAIN_TIME: Duration = Duration::from_millis(20);
 
--- a/src/gateway/store/health.rs
+++ b/src/gateway/store/health.rs
@@ -6,6 +6,7 @@
 
 use crate::gateway::latency::LatencyEstimate;
 use crate::node::platform::StoreError;
+use crate::util::pause::{ClockMark, MAX_TIMER_DELAY};
 
 /// Bounds of the timeout of a call, beyond the time for which the store holds it on purpose. The
 /// store answers within 4 to 10 ms, and within about 700 ms if it is slowed 60-fold.
@@ -33,9 +34,6 @@
 /// so even if half of them are refused, one is answered about every 40 ms.
 const OVER_RATE_MAX_AGE: Duration = Duration::from_millis(300);
 
-/// A process whose timers are later than this has been paused or lacked processor time.
-const MAX_TICK_DELAY: Duration = Duration::from_millis(200);
-
 #[derive(Debug, Clone, Copy)]
 pub(super) struct StoreHealth {
     latency: LatencyEstimate,
@@ -47,8 +45,8 @@
     /// Time of the last answer over any path.
     answered_at: Option<Instant>,
     over_rate_at: Option<Instant>,
-    /// Time of the last tick, and the time from it to the next one.
-    ticked_at: Option<Instant>,
+    /// The last tick, and the time from it to the next one.
+    last_tick: Option<ClockMark>,
     tick_interval: Duration,
     /// Time of the first tick after a pause of the process.
     resumed_at: Option<Instant>,
@@ -63,7 +61,7 @@
             direct_answered_at: None,
             answered_at: None,
             over_rate_at: None,
-            ticked_at: None,
+            last_tick: None,
             tick_interval: Duration::ZERO,
             resumed_at: None,
         }
@@ -101,18 +99,17 @@
 
     /// Records that the process runs; it does so again after `interval` unless it is paused.
     pub(super) fn record_tick(&mut self, interval: Duration) {
-        let now = Instant::now();
         if self.is_tick_overdue() {
             log::info!("event=process_resumed");
-            self.resumed_at = Some(now);
+            self.resumed_at = Some(Instant::now());
         }
-        self.ticked_at = Some(now);
+        self.last_tick = Some(ClockMark::now());
         self.tick_interval = interval;
     }
 
     fn is_tick_overdue(&self) -> bool {
-        let longest = self.tick_interval + MAX_TICK_DELAY;
-        self.ticked_at.is_some_and(|at| at.elapsed() > longest)
+        let longest = self.tick_interval + MAX_TIMER_DELAY;
+        self.last_tick.is_some_and(|tick| tick.steady().elapsed() > longest || tick.is_paused())
     }
 
     /// Timeouts of calls that span a pause of the process say nothing about the store. Taken for an outage,
--- a/src/util/pause.rs
+++ b/src/util/pause.rs
@@ -7,6 +7,9 @@
 /// Exceeds the delay of late timers and the small steps by which wall clocks are corrected.
 const MAX_CLOCK_DRIFT: Duration = Duration::from_millis(200);
 
+/// A timer that is later than this means that the process was paused.
+pub(crate) const MAX_TIMER_DELAY: Duration = Duration::from_millis(250);
+
 /// A time by both clocks. The steady clock stops while a machine is suspended, which would make
 /// stale data look fresh; the wall clock does not.
 #[derive(Debug, Clone, Copy)]
