Wait for addresses and settings at the start

What operators saw: a process ended with status 1 at once if any of its five addresses was taken, and with status 2 if its settings file was absent, empty or half written. The platform restarts it, and counts an end each time.

Cause: the start tried each thing from outside once. A predecessor that still stops, or a connection of another process with that local port, takes an address for a moment; SO_REUSEADDR covers neither.

Change: addresses that are taken, or not assigned yet, are tried every 50 ms for the grace period and two seconds; nothing is accepted meanwhile, as all sockets are dropped between tries, and SIGTERM ends the wait with 0. Settings that end early are read again for two seconds. The end of a process names its cause in its log and by its status: 7 an address is taken, 8 a stop ran out of time (both were 1). A closed standard error no longer turns the status into that of a panic (101).

--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -1,15 +1,15 @@
 //! `merlinsaddle gateway`: serves callers of a platform until it is told to stop.
 
-use std::io;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
 use rand::random;
-use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
+use super::process::{ProcessSignals, bind_once_free, log_failure};
 use super::{CmdError, CmdResult, block_on, start_log_to_stdout};
+use crate::config::SettingsError;
 use crate::gateway::dialect::GatewayDialect;
 use crate::gateway::{GatewaySettings, GatewaySockets, launch_gateway};
 
@@ -35,36 +35,44 @@
     block_on(async {
         // Before anything that takes time: until then, SIGHUP ends the process.
         let signals = ProcessSignals::open()?;
-        let settings = GatewaySettings::load(&args.settings)?;
-        let drain = start_log_to_stdout(&settings.instance);
-        let result = serve(&args.settings, settings, signals, dialect).await;
+        let settings = load_settings(&args.settings).await;
+        let instance = settings.as_ref().map_or("-", |settings| &settings.instance);
+        let drain = start_log_to_stdout(instance);
+        let result = match settings {
+            Ok(settings) => serve(&args.settings, settings, signals, dialect).await,
+            Err(error) => Err(error.into()),
+        };
+        log_failure(&result);
         drain.wait(LAST_LINES);
         result
     })
 }
 
-struct ProcessSignals {
-    terminate: Signal,
-    interrupt: Signal,
-    reload: Signal,
-}
-
-impl ProcessSignals {
-    fn open() -> io::Result<Self> {
-        Ok(Self {
-            terminate: signal(SignalKind::terminate())?,
-            interrupt: signal(SignalKind::interrupt())?,
-            reload: signal(SignalKind::hangup())?,
-        })
-    }
-}
-
 /// How long the end of a process waits for its log to be written: a reader that has stopped must not
 /// hold it up, and the platform kills it soon after.
 const LAST_LINES: Duration = Duration::from_millis(250);
 
 /// How often the settings file is looked at: it may change without a signal.
 const SETTINGS_PACE: Duration = Duration::from_secs(2);
+/// Limit for a settings file to be written whole.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(2);
+const SETTINGS_RETRY_DELAY: Duration = Duration::from_millis(50);
+
+/// Beyond the grace period of a predecessor that still has the addresses.
+const BIND_MARGIN: Duration = Duration::from_secs(2);
+
+/// Loads the settings, which the platform may still be writing.
+async fn load_settings(path: &Path) -> Result<GatewaySettings, SettingsError> {
+    let deadline = Instant::now() + SETTINGS_TIMEOUT;
+    loop {
+        match GatewaySettings::load(path) {
+            Err(error) if error.is_incomplete() && Instant::now() < deadline => {
+                sleep(SETTINGS_RETRY_DELAY).await;
+            }
+            loaded => return loaded,
+        }
+    }
+}
 
 /// When the file was last written; none while it cannot be seen.
 fn modified_at(path: &Path) -> Option<SystemTime> {
@@ -77,14 +85,19 @@
     mut signals: ProcessSignals,
     dialect: Rc<dyn GatewayDialect>,
 ) -> CmdResult {
-    let sockets = GatewaySockets::open(&mut settings).await?;
+    let limit = settings.grace() + BIND_MARGIN;
+    let sockets = tokio::select! {
+        sockets = bind_once_free(limit, async || GatewaySockets::open(&mut settings).await) => sockets?,
+        () = signals.stopped() => return Ok(()),
+    };
     let gateway = launch_gateway(settings, sockets, dialect, random());
     let mut modified = modified_at(path);
     loop {
         tokio::select! {
-            _ = signals.terminate.recv() => break,
-            _ = signals.interrupt.recv() => break,
-            _ = signals.reload.recv() => gateway.reload(path),
+            is_reload = signals.is_reload() => match is_reload {
+                true => gateway.reload(path),
+                false => break,
+            },
             () = sleep(SETTINGS_PACE) => {
                 let now = modified_at(path);
                 if now != modified {
@@ -97,5 +110,5 @@
     if gateway.shut_down().await {
         return Ok(());
     }
-    Err(CmdError::failed("some requests were left when the time for the stop was over"))
+    Err(CmdError::StopTimedOut)
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod limits;
 pub mod load;
 pub mod members;
+mod process;
 pub mod program;
 pub mod serve;
 pub mod stand_in;
@@ -35,6 +36,8 @@
     Client(ClientError),
     Caller(CallerError),
     Io(io::Error),
+    #[display("some work was left when the time for the stop was over")]
+    StopTimedOut,
     #[display("{message}")]
     #[from(skip)]
     Failed {
@@ -52,6 +55,7 @@
     /// The exit code, as `merlinsaddle --help` lists them.
     pub fn exit_code(&self) -> u8 {
         match self {
+            Self::Launch(error) if error.is_address_taken() => 7,
             Self::Launch(_) | Self::Io(_) | Self::Failed { .. } => 1,
             Self::Settings(_) => 2,
             Self::Client(ClientError::Conflict { .. }) => 3,
@@ -61,6 +65,7 @@
             Self::Client(
                 ClientError::Timeout | ClientError::Unknown { .. } | ClientError::Rpc(_),
             ) => 6,
+            Self::StopTimedOut => 8,
         }
     }
 }
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -4,12 +4,16 @@
 use std::time::Duration;
 
 use rand::random;
-use tokio::signal::unix::{SignalKind, signal};
 
+use super::process::{ProcessSignals, bind_once_free, log_failure};
 use super::{CmdError, CmdResult, block_on, start_log};
 use crate::config::NodeSettings;
 use crate::node::{NodeSockets, launch_node};
 
+/// Limit for addresses that are taken to become free. A predecessor that takes longer to stop is not
+/// replaced yet.
+const BIND_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// Run one instance.
 ///
 /// SIGTERM or SIGINT stop it gracefully: callers are no longer sent here, calls under way are
@@ -26,24 +30,29 @@
 pub fn run(args: Args) -> CmdResult {
     start_log();
     let settings = NodeSettings::load(&args.settings)?;
-    block_on(serve(settings, Duration::from_secs(args.drain_seconds)))
+    let drain = Duration::from_secs(args.drain_seconds);
+    let result = block_on(async { serve(settings, drain, ProcessSignals::open()?).await });
+    log_failure(&result);
+    result
 }
 
-async fn serve(mut settings: NodeSettings, drain: Duration) -> CmdResult {
-    let mut terminate = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let sockets = NodeSockets::open(&mut settings).await?;
+async fn serve(
+    mut settings: NodeSettings,
+    drain: Duration,
+    mut signals: ProcessSignals,
+) -> CmdResult {
+    let bound = bind_once_free(BIND_TIMEOUT, async || NodeSockets::open(&mut settings).await);
+    let sockets = tokio::select! {
+        sockets = bound => sockets?,
+        () = signals.stopped() => return Ok(()),
+    };
     let node = tokio::select! {
         node = launch_node(settings, sockets, random()) => node,
-        _ = terminate.recv() => return Ok(()),
-        _ = interrupt.recv() => return Ok(()),
+        () = signals.stopped() => return Ok(()),
     };
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.stopped().await;
     if node.shut_down(drain).await {
         return Ok(());
     }
-    Err(CmdError::failed("some calls or shards were left when the time for the stop was over"))
+    Err(CmdError::StopTimedOut)
 }
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -193,6 +193,17 @@
     Invalid { key: Box<str>, value: Box<str>, allowed: &'static str },
 }
 
+impl SettingsError {
+    /// The file is absent or ends early, as one that is still being written.
+    pub(crate) fn is_incomplete(&self) -> bool {
+        match self {
+            Self::Unreadable(error) => error.kind() == std::io::ErrorKind::NotFound,
+            Self::Malformed(error) => error.is_eof(),
+            Self::Invalid { .. } => false,
+        }
+    }
+}
+
 impl NodeSettings {
     pub fn load(path: &Path) -> Result<Self, SettingsError> {
         Self::parse(&fs::read_to_string(path)?)
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,6 @@
 //! The merlinsaddle program: one binary, one list of commands.
 
+use std::io::{Write, stderr};
 use std::process::ExitCode;
 use std::rc::Rc;
 
@@ -12,7 +13,8 @@
 /// Schedules agent programs in front of model engines and plain services.
 ///
 /// Exit codes: 0 done; 1 failed; 2 wrong usage or settings; 3 another operator was first;
-/// 4 refused; 5 no instance answers; 6 unknown whether it took effect.
+/// 4 refused; 5 no instance answers; 6 unknown whether it took effect; 7 an address is taken;
+/// 8 a stop ran out of time.
 #[derive(Debug, Parser)]
 #[command(version)]
 struct Args {
@@ -56,7 +58,8 @@
     match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("merlinsaddle: {error}");
+            // Standard error may be closed, and a panic would hide the status.
+            let _ = writeln!(stderr(), "merlinsaddle: {error}");
             ExitCode::from(error.exit_code())
         }
     }
--- a/src/node/launch.rs
+++ b/src/node/launch.rs
@@ -1,6 +1,6 @@
 //! Runs a node on network sockets.
 
-use std::io;
+use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -30,6 +30,11 @@
     pub(crate) fn new(address: &str, error: io::Error) -> Self {
         Self { address: address.into(), error }
     }
+
+    /// The address may become free, or be assigned to this machine, a moment later.
+    pub(crate) fn is_address_taken(&self) -> bool {
+        matches!(self.error.kind(), ErrorKind::AddrInUse | ErrorKind::AddrNotAvailable)
+    }
 }
 
 pub struct NodeSockets {
