Ignore signals that are no request to stop

What operators saw: a process whose log goes to a file ends without a line once that file reaches its size limit (SIGXFSZ), and each restart ends at its first line, as the file is still full. SIGXCPU, SIGUSR1, SIGUSR2, SIGALRM, SIGVTALRM, SIGPROF, SIGIO and SIGPWR end it too.

Cause: only SIGHUP, SIGTERM, SIGINT and SIGPIPE had another effect than the default.

Change: these are caught and logged once each. A write to a full log fails with EFBIG, which the log's writer drops as it does other failures. SIGQUIT keeps its default, so that an operator can have a core dump. `libc`, which was built already, is named for the numbers.

--- a/src/cmd/process.rs
+++ b/src/cmd/process.rs
@@ -9,6 +9,20 @@
 use super::CmdResult;
 use crate::node::LaunchError;
 
+/// Signals whose default ends the process, and which are no request to end it: a file, such as the log,
+/// that has reached its size limit, used-up processor time, timers, and conventions of other programs.
+const IGNORED_SIGNALS: [(&str, i32); 9] = [
+    ("SIGXFSZ", libc::SIGXFSZ),
+    ("SIGXCPU", libc::SIGXCPU),
+    ("SIGUSR1", libc::SIGUSR1),
+    ("SIGUSR2", libc::SIGUSR2),
+    ("SIGALRM", libc::SIGALRM),
+    ("SIGVTALRM", libc::SIGVTALRM),
+    ("SIGPROF", libc::SIGPROF),
+    ("SIGIO", libc::SIGIO),
+    ("SIGPWR", libc::SIGPWR),
+];
+
 /// How often an address that is taken is tried again.
 const BIND_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -21,11 +35,21 @@
 
 impl ProcessSignals {
     pub(crate) fn open() -> io::Result<Self> {
-        Ok(Self {
+        let signals = Self {
             terminate: signal(SignalKind::terminate())?,
             interrupt: signal(SignalKind::interrupt())?,
             reload: signal(SignalKind::hangup())?,
-        })
+        };
+        for (name, number) in IGNORED_SIGNALS {
+            let mut ignored = signal(SignalKind::from_raw(number))?;
+            actix_rt::spawn(async move {
+                // Once only: a line to a log at its size limit raises the signal again.
+                if ignored.recv().await.is_some() {
+                    log::warn!("event=signal_ignored signal={name}");
+                }
+            });
+        }
+        Ok(signals)
     }
 
     /// Waits until the process is told to stop.
--- a/tests/starting_processes.rs
+++ b/tests/starting_processes.rs
@@ -142,6 +142,49 @@
     child.wait().expect("it is a child of this process");
 }
 
+/// Guards against signals that end a process although they are no request to stop, above all that of a
+/// log file at its size limit.
+#[rstest]
+#[case::log_full("XFSZ")]
+#[case::processor_time("XCPU")]
+#[case::first("USR1")]
+#[case::second("USR2")]
+#[case::alarm("ALRM")]
+#[case::power("PWR")]
+#[actix_rt::test]
+async fn signals_that_are_no_stop_are_ignored(#[case] signal: &str) {
+    let ip = own_ip();
+    let settings = settings_at(&ip, NO_STORE, &json!({}));
+    let mut process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
+    wait_until("it runs", async || process.log().contains("event=started")).await;
+    for _ in 0..2 {
+        process.signal(&format!("-{signal}"));
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(process.try_end(), None);
+    }
+    let line = format!("event=signal_ignored signal=SIG{signal}");
+    assert!(process.log().contains(&line), "{}", process.log());
+}
+
+/// Guards against a process that ends because its log file has reached its size limit.
+#[actix_rt::test]
+async fn full_log_file_does_not_end_the_process() {
+    let deployment = Deployment::start(0, 1).await;
+    let ip = own_ip();
+    let settings = settings_at(&ip, &deployment.store_address, &json!({}));
+    // A block of 512 bytes.
+    let mut process = GatewayProcess::spawn_limited(&format!("gateway-{ip}"), &settings, "-f 1");
+    wait_until("it runs", async || process.log().contains("event=started")).await;
+    for _ in 0..10 {
+        process.signal("-HUP");
+        sleep(Duration::from_millis(50)).await;
+        assert_eq!(process.try_end(), None);
+    }
+    assert_eq!(process.log().len(), 512);
+    process.signal("-TERM");
+    assert_eq!(status_of(&mut process).await.code(), Some(0));
+}
+
 /// Guards against a defect's status, or none, where standard output and error are closed.
 #[actix_rt::test]
 async fn closed_outputs_do_not_change_the_status() {
