Read settings in each form that a template may write

What operators saw: status 2 at the start, and no process, where the platform names no seeds (`null`), writes a whole number as a fraction (130.0), or allows no grace or no keeping of addresses (0).

Cause: the types of the settings were those of the program. The platform's figures are whole numbers or fractions, and a template writes `null` for what is not named.

Change: fractions of whole numbers are cut off, no seeds are an empty list, and times of 0 are taken as such.

--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -5,7 +5,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 use super::memory::CALL_BYTES;
 use crate::config::SettingsError;
@@ -29,18 +29,22 @@
     /// Address for other instances; also serves `/metrics`.
     pub peer_address: Box<str>,
     /// UDP port of the failure detector.
+    #[serde(deserialize_with = "whole_number")]
     pub gossip_port: u16,
     /// Peer addresses of a few instances, possibly stale.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "list_or_null")]
     pub seeds: Vec<Box<str>>,
     pub store_address: Box<str>,
     /// Maximum size of a row's value, in bytes.
+    #[serde(deserialize_with = "whole_number")]
     pub store_row_bytes: usize,
     /// True if the store supports transactions that span partitions.
     #[serde(default)]
     pub store_across_parts: Option<bool>,
+    /// Memory beyond which the platform ends the process, in megabytes.
+    #[serde(deserialize_with = "whole_number")]
     pub memory_mb: u64,
-    /// Time from SIGTERM to SIGKILL.
+    /// Time from SIGTERM to SIGKILL; with 0, calls are cut off at once.
     pub grace_seconds: f64,
     /// Maximum TTL of an address list.
     pub address_keep_seconds: f64,
@@ -48,7 +52,7 @@
     #[serde(default)]
     pub strict_revoke: Option<bool>,
     /// Maximum time for which a revoked key is still accepted.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "whole_number_or_null")]
     pub revoke_millis: Option<u64>,
     #[serde(default)]
     pub quota_window_seconds: Option<f64>,
@@ -163,8 +167,8 @@
             ("address_keep_seconds", self.address_keep_seconds),
         ];
         for (key, value) in seconds {
-            if !(value > 0.0 && value < 3_600.0) {
-                return Err(invalid(key, &value.to_string(), "above 0 and below 3600"));
+            if !(value >= 0.0 && value < 3_600.0) {
+                return Err(invalid(key, &value.to_string(), "0 or more and below 3600"));
             }
         }
         let window = self.quota_window_seconds;
@@ -246,6 +250,34 @@
     }
 }
 
+/// Fractions are cut off: writers differ in whether they write 130 or 130.0.
+fn to_whole<T: TryFrom<u64>, E: serde::de::Error>(number: f64) -> Result<T, E> {
+    let is_in_range = number >= 0.0 && number < u64::MAX as f64;
+    let whole = is_in_range.then(|| T::try_from(number as u64).ok()).flatten();
+    whole.ok_or_else(|| E::custom(format!("{number} is not in the range of this setting")))
+}
+
+fn whole_number<'de, D, T>(deserializer: D) -> Result<T, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<u64>,
+{
+    to_whole(f64::deserialize(deserializer)?)
+}
+
+fn whole_number_or_null<'de, D, T>(deserializer: D) -> Result<Option<T>, D::Error>
+where
+    D: Deserializer<'de>,
+    T: TryFrom<u64>,
+{
+    Option::<f64>::deserialize(deserializer)?.map(to_whole).transpose()
+}
+
+/// A template writes `null` for what the platform does not name.
+fn list_or_null<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Box<str>>, D::Error> {
+    Ok(Option::deserialize(deserializer)?.unwrap_or_default())
+}
+
 fn invalid(key: &str, value: &str, allowed: &'static str) -> SettingsError {
     SettingsError::Invalid { key: key.into(), value: value.into(), allowed }
 }
--- a/tests/starting_processes.rs
+++ b/tests/starting_processes.rs
@@ -117,6 +117,49 @@
     assert_eq!(status_of(&mut process).await.code(), Some(0));
 }
 
+/// Guards against a start that gives up because of how the platform writes a setting.
+#[rstest]
+#[case::no_seeds("seeds", json!(null))]
+#[case::fraction("memory_mb", json!(130.5))]
+#[case::whole_as_fraction("memory_mb", json!(130.0))]
+#[case::row_size("store_row_bytes", json!(65536.0))]
+#[case::port("gossip_port", json!(7380.0))]
+#[case::revoke("revoke_millis", json!(1500.5))]
+#[case::no_grace("grace_seconds", json!(0))]
+#[case::no_keep("address_keep_seconds", json!(0))]
+#[actix_rt::test]
+async fn settings_may_be_written_in_any_form(#[case] key: &str, #[case] value: Value) {
+    let deployment = Deployment::start(0, 1).await;
+    let ip = own_ip();
+    let settings = settings_at(&ip, &deployment.store_address, &json!({ key: value }));
+    let process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
+    wait_until("it is ready", async || process.log().contains("event=ready")).await;
+}
+
+/// Guards against settings without sense that are taken, or refused without a reason in the log.
+#[rstest]
+#[case::negative("memory_mb", json!(-1), "range")]
+#[case::no_memory("memory_mb", json!(0), "memory_mb is '0'")]
+#[case::port("gossip_port", json!(70_000), "range")]
+#[case::no_name("instance", json!(null), "null")]
+#[case::window("quota_window_seconds", json!(0), "quota_window_seconds")]
+#[actix_rt::test]
+async fn settings_without_sense_are_refused(
+    #[case] key: &str,
+    #[case] value: Value,
+    #[case] reason: &str,
+) {
+    let ip = own_ip();
+    let mut process = GatewayProcess::spawn(
+        &format!("gateway-{ip}"),
+        &settings_at(&ip, NO_STORE, &json!({ key: value })),
+    );
+    assert_eq!(status_of(&mut process).await.code(), Some(2));
+    let log = process.log();
+    let line = log.lines().find(|line| line.contains("event=process_failed status=2"));
+    assert!(line.is_some_and(|line| line.contains(reason)), "{log}");
+}
+
 fn spawn_at(dir: &WorkDir, path: &str) -> Child {
     dir.spawn("gateway.log", &["gateway", path])
 }
