End calls at their deadline while their upstream always has bytes

In a stop they lasted to its end.

Cause: the deadline is polled after the work, as a process that resumes has to see what has arrived first. Work that always finds input returns only when it has used up the task's budget, and a timer without budget is pending.

Change: the deadline is polled without a budget. The order stays.

--- a/src/gateway/call/mod.rs
+++ b/src/gateway/call/mod.rs
@@ -17,7 +17,7 @@
 use actix_http::Method;
 use actix_http::header::HeaderMap;
 use bytes::Bytes;
-use tokio::task::yield_now;
+use tokio::task::{unconstrained, yield_now};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use self::ending::{CallEnd, CallFailure, catch_panic, cut_off_refusal, panic_refusal};
@@ -96,10 +96,11 @@
 /// Runs `work` until its deadline; `None` if it has not ended by then. A process that was suspended sees
 /// that the deadline is over before it sees what has arrived, so the runtime looks for that once more.
 async fn until_deadline<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
-    let passed = async {
+    // Without a budget, as work that always finds input uses it up.
+    let passed = unconstrained(async {
         sleep_until(deadline).await;
         yield_now().await;
-    };
+    });
     tokio::select! {
         biased;
         done = work => Some(done),
