Bound what is kept of an answer that is relayed

What callers saw: an engine sent an event stream, or the body of a turn, without an end of its line, its event or itself. The process kept it all, exceeded its 130 MB within 0.3 to 0.6 s with 24 such calls, and was killed with the requests of all.

Cause: an upstream decided how much was kept. The line and the event being read had no bound; the output of a turn was counted without one; the output of streams without a history was kept for nobody. The bound of covered heads and framing only.

Change: what the parser and the framer keep is held by the call's permit, by capacity. More than 4 MB, as for buffered answers of idempotent calls, ends the answer as broken (`answer_too_large`, other engines go on with a resumable stream), and so does a lack of memory beyond 16 KB an answer (`memory_full`). Answers do not wait behind requests that want memory. Only turns with a history keep their output. Heads of answers may have 32 KB and framing 16 KB (128 and 64 before), which a stalled answer holds uncounted.

--- a/src/core/memory/ledger.rs
+++ b/src/core/memory/ledger.rs
@@ -8,6 +8,8 @@
 
 pub type TicketId = u64;
 
+/// An answer up to this size is held in any case.
+const SMALL_ANSWER_BYTES: usize = 16 * 1024;
 /// Place of the body that grows, before all others of its rank.
 const GROWING_TICKET: TicketId = 0;
 
@@ -167,9 +169,14 @@
         others + own <= self.bounds.limit(request.rank, own, others)
     }
 
-    /// Counts bytes that are held in any case.
-    pub fn add(&mut self, bytes: usize) {
-        self.held += bytes;
+    /// Holds `more` bytes for an answer that then has `own`. Answers do not wait behind requests, as they
+    /// end the sooner; returns false if all of the memory is held, unless the answer is small.
+    pub fn hold_answer(&mut self, own: usize, more: usize) -> bool {
+        let is_held = own <= SMALL_ANSWER_BYTES || self.held + more <= self.bounds.total;
+        if is_held {
+            self.held += more;
+        }
+        is_held
     }
 
     /// Returns the waiting requests that are granted now.
--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -47,6 +47,7 @@
         AnswerError::Broken(_) => "connection_broken",
         AnswerError::Malformed(_) | AnswerError::BadBody(_) => "not_an_answer",
         AnswerError::Foreign => "foreign_answers",
+        AnswerError::TooLarge { .. } => "answer_too_large",
     }
 }
 
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -25,9 +25,15 @@
 
 enum RelayError {
     CallerLeft,
+    /// There is no memory for what has to be kept of the response.
+    MemoryFull,
     Broken(AnswerError),
 }
 
+/// Maximum memory of a response that is being relayed. Idempotent requests are buffered up to the same
+/// size.
+const MAX_RELAY_BYTES: usize = 4 * 1024 * 1024;
+
 /// Progress of a response, over all upstreams that contributed to it.
 struct RelayState {
     events: EventParser,
@@ -37,19 +43,39 @@
     first_byte_at: Option<Instant>,
     /// Events received from earlier upstreams.
     earlier_events: u64,
+    /// Bytes that the call's permit holds for the response.
+    held_bytes: usize,
 }
 
 impl RelayState {
-    fn new(call: &CallContext, answer: &UpstreamAnswer) -> Self {
+    fn new(call: &CallContext, answer: &UpstreamAnswer, turn: Option<&ActiveTurn>) -> Self {
         let is_resumable = call.route.is_resumable && answer.is_event_stream();
+        let is_persisted = turn.is_some_and(ActiveTurn::is_persisted);
+        let events = if is_persisted { EventParser::with_output() } else { EventParser::default() };
         Self {
-            events: EventParser::default(),
+            events,
             complete_events: is_resumable.then(EventFramer::default),
             first_byte_at: None,
             earlier_events: 0,
+            held_bytes: 0,
         }
     }
 
+    /// Lets the call's permit hold what is kept of the response. An upstream must not decide how much
+    /// that is: an event or a stream may have no end.
+    fn hold_memory(&mut self, call: &CallContext) -> Result<(), RelayError> {
+        let framed = self.complete_events.as_ref().map_or(0, EventFramer::held_bytes);
+        let bytes = self.events.held_bytes() + framed;
+        if bytes > MAX_RELAY_BYTES {
+            return Err(RelayError::Broken(AnswerError::TooLarge { bytes }));
+        }
+        if !call.memory.try_resize(self.held_bytes, bytes) {
+            return Err(RelayError::MemoryFull);
+        }
+        self.held_bytes = bytes;
+        Ok(())
+    }
+
     /// False in the middle of an event of a resumable stream.
     fn is_complete(&self) -> bool {
         self.complete_events.as_ref().is_none_or(EventFramer::is_empty)
@@ -75,7 +101,7 @@
         progress: &AttemptProgress,
         writer: &mut CallerWriter,
     ) -> Result<CallEnd, CallFailure> {
-        let mut state = RelayState::new(call, &answer);
+        let mut state = RelayState::new(call, &answer, turn.as_ref());
         if state.complete_events.is_none() {
             call.release_body();
         }
@@ -87,6 +113,9 @@
             let error = match body.await {
                 Ok(()) => break,
                 Err(RelayError::CallerLeft) => return Err(CallFailure::CallerLeft),
+                Err(RelayError::MemoryFull) => {
+                    return Err(CallFailure::AnswerBroken("memory_full"));
+                }
                 Err(RelayError::Broken(error)) => error,
             };
             answer = self.resume(call, answer, &error, &mut state, progress, writer).await?;
@@ -130,16 +159,16 @@
                 Some(events) => events.push(&chunk),
                 None => chunk,
             };
+            let events = if is_parsed { state.events.push(&chunk) } else { 0 };
+            state.hold_memory(call)?;
             if chunk.is_empty() {
                 continue;
             }
-            let events = if is_parsed { state.events.push(&chunk) } else { 0 };
             if state.complete_events.is_some() && state.events.is_out_of_order() {
                 return Err(RelayError::Broken(AnswerError::Foreign));
             }
             if let Some(turn) = turn.as_mut() {
                 turn.reservation.record_tokens(events * call.event_tokens);
-                call.memory.add(chunk.len());
             }
             progress.record_first_byte(call.arrived);
             writer.chunk(chunk).await.map_err(|_| RelayError::CallerLeft)?;
--- a/src/gateway/events/framer.rs
+++ b/src/gateway/events/framer.rs
@@ -33,6 +33,11 @@
         self.buffer.split_to(end).freeze()
     }
 
+    /// Bytes of the incomplete event.
+    pub(crate) fn held_bytes(&self) -> usize {
+        self.buffer.capacity()
+    }
+
     /// True if no incomplete event is buffered.
     pub(crate) fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/src/gateway/events/parser.rs
+++ b/src/gateway/events/parser.rs
@@ -7,12 +7,16 @@
 /// The `id` field of an event. Numeric ids increase within a stream.
 pub(crate) type EventId = Box<str>;
 
+/// The buffer of a longer line is given back.
+const MAX_KEPT_LINE_BYTES: usize = 4 * 1024;
 /// A stream may begin with it; it belongs to no field.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// Parses events from a body that arrives in arbitrary chunks.
 #[derive(Debug, Default)]
 pub(crate) struct EventParser {
+    /// Otherwise only the current event is kept.
+    keeps_output: bool,
     lines: LineSplitter,
     line: BytesMut,
     after_first_line: bool,
@@ -30,6 +34,17 @@
 }
 
 impl EventParser {
+    /// A parser that keeps the data of all events.
+    pub(crate) fn with_output() -> Self {
+        Self { keeps_output: true, ..Self::default() }
+    }
+
+    /// Bytes that are kept: the current event, and the output.
+    pub(crate) fn held_bytes(&self) -> usize {
+        let data = self.data.as_ref().map_or(0, BytesMut::capacity);
+        self.line.capacity() + data + self.output.capacity()
+    }
+
     /// Parses a chunk and returns the number of events that it completes.
     pub(crate) fn push(&mut self, mut chunk: &[u8]) -> u64 {
         let before = self.events;
@@ -44,11 +59,19 @@
     }
 
     fn end_line(&mut self) {
-        let line = self.line.split();
+        let line = std::mem::take(&mut self.line);
+        self.read_line(&line);
+        if line.capacity() <= MAX_KEPT_LINE_BYTES {
+            self.line = line;
+            self.line.clear();
+        }
+    }
+
+    fn read_line(&mut self, line: &[u8]) {
         let is_first = !std::mem::replace(&mut self.after_first_line, true);
         let line = match line.strip_prefix(BYTE_ORDER_MARK) {
             Some(rest) if is_first => rest,
-            _ => &line,
+            _ => line,
         };
         if line.is_empty() {
             self.end_event();
@@ -86,8 +109,10 @@
         let id = self.id.take();
         let Some(data) = self.data.take() else { return };
         self.events += 1;
-        self.output.extend_from_slice(&data);
-        self.output.extend_from_slice(b"\n");
+        if self.keeps_output {
+            self.output.extend_from_slice(&data);
+            self.output.extend_from_slice(b"\n");
+        }
         self.last_has_id = id.is_some();
         if let Some(id) = id {
             self.out_of_order |= self.last_id.as_ref().is_some_and(|last| !follows(last, &id));
--- a/src/gateway/events/tests.rs
+++ b/src/gateway/events/tests.rs
@@ -10,7 +10,7 @@
 }
 
 fn parsed(stream: &str) -> EventParser {
-    let mut parser = EventParser::default();
+    let mut parser = EventParser::with_output();
     parser.push(stream.as_bytes());
     parser
 }
@@ -115,7 +115,7 @@
         sizes in prop::collection::vec(1..9_usize, 1..40),
     ) {
         let stream = written(&events);
-        let (mut parser, mut framed) = (EventParser::default(), EventParser::default());
+        let (mut parser, mut framed) = (EventParser::with_output(), EventParser::with_output());
         let mut framer = EventFramer::default();
         let mut forwarded = Vec::new();
         let mut rest = stream.as_bytes();
--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -16,12 +16,12 @@
 use super::codec_config;
 
 /// Maximum size of a response head, interim responses included.
-const MAX_HEAD_BYTES: usize = 128 * 1024;
+const MAX_HEAD_BYTES: usize = 32 * 1024;
 /// Smaller bodies are sent with the head in one write.
 const MAX_COPIED_BODY_BYTES: usize = 16 * 1024;
 /// Maximum size of the framing between two pieces of a chunked body. The codec discards chunk
 /// extensions and zeros before a chunk size without a limit.
-const MAX_FRAMING_BYTES: usize = 64 * 1024;
+const MAX_FRAMING_BYTES: usize = 16 * 1024;
 
 /// The request may have run.
 #[derive(Debug, Display, Error, From)]
@@ -36,6 +36,9 @@
     BadBody(PayloadError),
     #[display("response belongs to another request")]
     Foreign,
+    #[display("response needs {bytes} bytes of memory")]
+    #[from(skip)]
+    TooLarge { bytes: usize },
 }
 
 impl AnswerError {
--- a/src/gateway/memory/mod.rs
+++ b/src/gateway/memory/mod.rs
@@ -236,10 +236,20 @@
         is_granted
     }
 
-    /// Counts bytes of a request that can no longer be refused.
-    pub(crate) fn add(&self, bytes: usize) {
-        self.gate.ledger.borrow_mut().add(bytes);
-        self.held.set(self.held.get() + bytes);
+    /// Holds `to` bytes in place of `from` for the answer of a request that runs. A small answer always
+    /// gets them, as it was paid for by its upstream; returns false if a larger one does not get them.
+    pub(crate) fn try_resize(&self, from: usize, to: usize) -> bool {
+        let Some(more) = to.checked_sub(from) else {
+            self.release(from - to);
+            return true;
+        };
+        let is_held = self.gate.ledger.borrow_mut().hold_answer(to, more);
+        if is_held {
+            self.held.set(self.held.get() + more);
+        } else {
+            self.refuse(WaitOutcome::NoTime, more, Duration::ZERO);
+        }
+        is_held
     }
 
     pub(crate) fn release(&self, bytes: usize) {
--- a/tests/platform_standin/engine/mod.rs
+++ b/tests/platform_standin/engine/mod.rs
@@ -69,6 +69,14 @@
     Body,
     ChunkSize,
     ChunkExtension,
+    /// A line of an event stream.
+    EventLine,
+    /// The lines of one event.
+    EventLines,
+    Comments,
+    Events,
+    /// Lines of a body that is no event stream.
+    Text,
 }
 
 impl EndlessPart {
@@ -76,6 +84,8 @@
     fn steps(self, head: &str) -> Vec<Step> {
         let ok = format!("HTTP/1.1 200 OK\r\n{head}");
         let chunked = format!("{ok}transfer-encoding: chunked\r\n\r\n");
+        let events =
+            format!("{ok}content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n");
         let fill = "x".repeat(4_096);
         let (begin, repeated) = match self {
             Self::StatusLine => ("HTTP/1.1 200 ".into(), fill),
@@ -85,6 +95,11 @@
             Self::Body => (format!("{ok}\r\n"), fill),
             Self::ChunkSize => (chunked, "0".repeat(4_096)),
             Self::ChunkExtension => (format!("{chunked}1;"), fill),
+            Self::EventLine => (events + &text_chunk("data: "), text_chunk(&fill)),
+            Self::EventLines => (events, text_chunk(&format!("data: {fill}\n"))),
+            Self::Comments => (events, text_chunk(&format!(": {fill}\n"))),
+            Self::Text => (chunked, text_chunk(&format!("{fill}\n"))),
+            Self::Events => (events, text_chunk("data: w\n\n").repeat(100)),
         };
         vec![Step::Send(begin.into()), Step::Repeat(repeated.into())]
     }
@@ -306,9 +321,12 @@
     }
 }
 
+fn text_chunk(text: &str) -> String {
+    format!("{:x}\r\n{text}\r\n", text.len())
+}
+
 fn chunk(event: usize) -> Vec<u8> {
-    let text = format!("id: {event}\ndata: w{event}\n\n");
-    format!("{:x}\r\n{text}\r\n", text.len()).into()
+    text_chunk(&format!("id: {event}\ndata: w{event}\n\n")).into()
 }
 
 fn stream_head(head: &str) -> Vec<u8> {
--- a/tests/platform_standin/mod.rs
+++ b/tests/platform_standin/mod.rs
@@ -307,6 +307,12 @@
         self.store.put(ENGINES_TABLE, id, &entry);
     }
 
+    pub fn list_engine_of(&self, service: &str, id: &str, address: &str) {
+        let mut entry = engine_entry("zone-a", address, "ready");
+        entry["service"] = service.into();
+        self.store.put(ENGINES_TABLE, id, &entry);
+    }
+
     pub fn list_engine_in(&self, zone: &str, id: &str, address: &str, state: &str) {
         self.store.put(ENGINES_TABLE, id, &engine_entry(zone, address, state));
     }
