Refuse calls that a stop may cut off from its beginning

The stop then counted as failed (status 1).

Cause: requests with deadlines past the end of the grace period were refused only from 0.6 s before the address lists expire. Requests that waited since before, for their body, memory or claim, were not looked at again.

Change: calls that may not be repeated, and streams, are refused as not run from the beginning of the stop, at the head and before they are first sent, if their deadline is past its end; others serve them at once. Idempotent calls are served as before in that time: most take a small part of it, and one that is cut off gets a true 504 and can be repeated.

--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -155,6 +155,7 @@
                 tried.retain(|id| progress.sent.borrow().contains(id));
                 continue;
             };
+            self.check_stop(call, progress)?;
             self.check_losses(call, progress)?;
             self.check_start(call, &choice, progress)?;
             self.check_retry(call, progress)?;
@@ -274,6 +275,16 @@
         Err(Refusal::not_run("retry_budget", retry_delay(delay, time_left)))
     }
 
+    /// Rejects a request that has not run if this instance stops before its deadline. It may have waited
+    /// since before the stop.
+    fn check_stop(&self, call: &CallContext, progress: &AttemptProgress) -> Result<(), Refusal> {
+        let may_cut_off = self.stop.may_cut_off(call.route.kind, Instant::now(), call.deadline);
+        match may_cut_off && !progress.may_have_run() {
+            true => Err(Refusal::stopping()),
+            false => Ok(()),
+        }
+    }
+
     /// Rejects a request that has not run if it would start later than its caller waits.
     fn check_start(
         &self,
--- a/src/gateway/call/prepare.rs
+++ b/src/gateway/call/prepare.rs
@@ -113,8 +113,8 @@
         }
         let timeout = head.deadline.unwrap_or(route.timeout).min(route.timeout);
         let deadline = arrived + timeout;
-        if self.stop.may_cut_off(arrived, deadline) {
-            return Err(fail(Refusal::not_run("stopping", Duration::ZERO)));
+        if self.stop.may_cut_off(route.kind, arrived, deadline) {
+            return Err(fail(Refusal::stopping()));
         }
         let max_body_bytes = table.limits.body_bytes.min(self.settings.body_bytes());
         let workspace_rank = workspace.as_ref().and_then(|workspace| workspace.priority);
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -50,6 +50,11 @@
         Self::not_run("memory_full", wait)
     }
 
+    /// The request did not run, as this instance stops before its deadline; others serve it at once.
+    pub(crate) fn stopping() -> Self {
+        Self::not_run("stopping", Duration::ZERO)
+    }
+
     /// None if the caller has disconnected.
     pub(crate) fn unreadable(error: &ReadError) -> Option<Self> {
         let (status, reason) = match error {
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use super::Gateway;
+use crate::core::routing::RouteKind;
 
 /// Time for the leave to reach all instances that serve the address directory.
 const LEAVE_PROPAGATION_DELAY: Duration = Duration::from_millis(300);
@@ -17,8 +18,8 @@
 /// How long a connection must have been idle before it is closed. A caller that was just connected or
 /// answered may be sending a request, which would be lost.
 const QUIET_PERIOD: Duration = Duration::from_secs(1);
-/// Requests count as late from this time before the address lists expire: few callers still come, and
-/// what they send may not end within the grace period.
+/// Idempotent requests count as late from this time before the address lists expire: few callers still
+/// come, and what they send may not end within the grace period.
 const LATE_REQUEST_MARGIN: Duration = Duration::from_millis(600);
 /// Time to give back tokens where calls took all of the grace period.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
@@ -43,7 +44,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct StopDeadlines {
-    /// Requests that arrive later must be able to end before the end.
+    begun: Instant,
+    /// Idempotent requests that are taken later must be able to end before the end.
     late_from: Instant,
     /// When open calls are cut off.
     end: Instant,
@@ -92,11 +94,16 @@
         let _ = timeout_at(idle_since + QUIET_PERIOD, self.cut_off()).await;
     }
 
-    /// Whether a request that arrived then may be cut off before its deadline. Earlier in a shutdown
-    /// requests are served whatever their deadline: most take a small part of it.
-    pub(crate) fn may_cut_off(&self, arrived: Instant, deadline: Instant) -> bool {
-        let deadlines = self.deadlines.get();
-        deadlines.is_some_and(|stop| stop.late_from <= arrived && stop.end < deadline)
+    /// Whether a request that is taken, or sent on for the first time, at that time may be cut off before
+    /// its deadline. Early in a shutdown idempotent requests are served whatever their deadline: most
+    /// take a small part of it, and one that is cut off can be repeated.
+    pub(crate) fn may_cut_off(&self, kind: RouteKind, at: Instant, deadline: Instant) -> bool {
+        let Some(stop) = self.deadlines.get() else { return false };
+        let late_from = match kind {
+            RouteKind::Idempotent => stop.late_from,
+            RouteKind::AtMostOnce | RouteKind::Stream => stop.begun,
+        };
+        late_from <= at && stop.end < deadline
     }
 }
 
@@ -113,7 +120,7 @@
             self.open_connections.get()
         );
         let late_from = advertised_until - LATE_REQUEST_MARGIN;
-        self.stop.deadlines.set(Some(StopDeadlines { late_from, end }));
+        self.stop.deadlines.set(Some(StopDeadlines { begun: start, late_from, end }));
         self.stop.enter(StopPhase::Draining);
         self.members.leave();
         sleep_until(advertised_until.min(end)).await;
