Answer peers one request at a time

Cause: the library's dispatcher goes on with the requests that it has read while the answers are not taken.

A listener takes 1,500 connections, a peer for each of a fleet; where half of them are open, idle ones are closed after a second. The handler of a request runs to its end, as before, when its client leaves.

--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -15,10 +15,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use actix_http::ServiceConfig;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+pub(crate) use crate::util::http_connection::codec_config;
 pub(crate) use caller::{
     AnswerState, CallerReader, CallerRequest, CallerWriter, CloseReason, ReadError, split_caller,
 };
@@ -63,12 +63,3 @@
     };
     log::log!(level, "event=socket_option_refused option={option} error=\"{error}\"");
 }
-
-thread_local! {
-    /// Shared by all codecs of the thread, since each configuration runs a timer for the date.
-    static CODEC_CONFIG: ServiceConfig = ServiceConfig::default();
-}
-
-pub(crate) fn codec_config() -> ServiceConfig {
-    CODEC_CONFIG.with(Clone::clone)
-}
--- a/src/util/http_server.rs
+++ b/src/util/http_server.rs
@@ -3,19 +3,21 @@
 use std::cell::Cell;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::body::{BodyStream, BoxBody};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{HttpMessage, HttpService, Method, Payload, Request, Response, StatusCode};
-use actix_service::{Service, ServiceFactory};
+use actix_http::{HttpMessage, Method, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{Stream, StreamExt};
 use serde::Serialize;
-use tokio::net::TcpListener;
-use tokio::time::timeout;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::http_connection::{ConnectionError, ServerConnection};
 
 /// A request with its complete body.
 #[derive(Debug)]
@@ -80,6 +82,11 @@
 /// Header that prevents a request from being forwarded twice.
 pub(crate) const FORWARDED_HEADER: &str = "x-merlinsaddle-forwarded";
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
+/// Of one listener. Fits the peers of a fleet, and leaves most descriptors to callers.
+const MAX_CONNECTIONS: usize = 1_500;
+/// An idle connection is closed after this time where half of them are open.
+const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Bounds on reading a body that is too large: four times the largest body accepted anywhere.
 const MAX_DISCARDED_BYTES: usize = 16 * 1024 * 1024;
 /// Requests of this size are always read.
@@ -100,42 +107,109 @@
     limits: impl Into<BodyLimits>,
     handler: HttpHandler,
 ) {
-    let (limits, held) = (limits.into(), Rc::new(Cell::new(0)));
-    let service = move |request: Request| {
-        let (handler, held) = (handler.clone(), held.clone());
-        async move { Ok::<_, Infallible>(respond(request, limits, &held, handler).await) }
-    };
-    let factory = HttpService::build()
-        .keep_alive(KEEP_ALIVE)
-        .client_request_timeout(KEEP_ALIVE)
-        .h1(service)
-        .tcp();
-    let service = match factory.new_service(()).await {
-        Ok(service) => Rc::new(service),
-        Err(()) => return,
-    };
+    let shared = Rc::new(ServedListener {
+        limits: limits.into(),
+        handler,
+        held: Rc::default(),
+        open: Cell::new(0),
+    });
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            actix_rt::time::sleep(Duration::from_millis(50)).await;
+        let Ok((stream, peer)) = listener.accept().await else {
+            sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        let service = service.clone();
-        actix_rt::spawn(async move {
-            let _ = service.call(stream).await;
-        });
+        if shared.open.get() >= MAX_CONNECTIONS {
+            log::warn!("event=connection_refused peer={peer} open={}", shared.open.get());
+            continue;
+        }
+        actix_rt::spawn(serve_connection(OpenConnection::new(&shared), stream, peer));
+    }
+}
+
+/// What the connections of a listener share.
+struct ServedListener {
+    limits: BodyLimits,
+    handler: HttpHandler,
+    /// Bytes of large bodies.
+    held: Rc<Cell<usize>>,
+    open: Cell<usize>,
+}
+
+/// Counts a connection as open until it is dropped.
+struct OpenConnection {
+    listener: Rc<ServedListener>,
+}
+
+impl OpenConnection {
+    fn new(listener: &Rc<ServedListener>) -> Self {
+        listener.open.update(|open| open + 1);
+        Self { listener: listener.clone() }
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.listener.open.update(|open| open - 1);
+    }
+}
+
+/// Serves the requests of a connection one after the other: a client that does not read its answers
+/// keeps one of them here at most.
+async fn serve_connection(open: OpenConnection, stream: TcpStream, peer: SocketAddr) {
+    let _ = stream.set_nodelay(true);
+    let mut connection = ServerConnection::new(stream);
+    loop {
+        match serve_request(&open.listener, &mut connection).await {
+            Ok(true) => {}
+            Ok(false) | Err(ConnectionError::Ended) => return,
+            Err(error) => {
+                log::debug!("event=connection_closed peer={peer} error=\"{error}\"");
+                return;
+            }
+        }
+    }
+}
+
+/// Returns false if the connection cannot carry another request.
+async fn serve_request(
+    listener: &ServedListener,
+    connection: &mut ServerConnection,
+) -> Result<bool, ConnectionError> {
+    let idle_since = Instant::now();
+    while !connection.has_input(IDLE_CHECK_INTERVAL).await? {
+        let is_crowded = listener.open.get() > MAX_CONNECTIONS / 2;
+        if is_crowded || idle_since.elapsed() >= KEEP_ALIVE {
+            return Ok(false);
+        }
     }
+    let request = match connection.head().await {
+        Ok(request) => request,
+        Err(ConnectionError::Malformed(_) | ConnectionError::HeadTooLarge) => {
+            connection.respond(text_response(StatusCode::BAD_REQUEST, "malformed head")).await?;
+            return Ok(false);
+        }
+        Err(error) => return Err(error),
+    };
+    let response = match read_body(listener, connection, &request).await? {
+        Ok(request) => (listener.handler)(request).await,
+        Err(refusal) => refusal,
+    };
+    connection.respond(response).await
 }
 
 /// Discards the rest of a body. Closing the connection while the caller still sends would reset it
 /// before the caller reads the response.
-async fn discard(payload: &mut Payload) {
-    let mut remaining = MAX_DISCARDED_BYTES;
-    while let Some(Ok(chunk)) = payload.next().await {
-        match remaining.checked_sub(chunk.len()) {
-            Some(rest) => remaining = rest,
-            None => return,
+async fn discard(connection: &mut ServerConnection) {
+    let rest = async {
+        let mut remaining = MAX_DISCARDED_BYTES;
+        while let Ok(Some(chunk)) = connection.chunk().await {
+            match remaining.checked_sub(chunk.len()) {
+                Some(rest) => remaining = rest,
+                None => return,
+            }
         }
-    }
+    };
+    let _ = timeout(DISCARD_TIMEOUT, rest).await;
 }
 
 /// The size of a body by its head; `None` if it is sent in chunks.
@@ -148,39 +222,49 @@
     }
 }
 
-async fn respond(
-    mut request: Request,
-    limits: BodyLimits,
-    held: &Rc<Cell<usize>>,
-    handler: HttpHandler,
-) -> HttpResponse {
-    let max_body = limits.each;
-    let declared = declared_length(&request).map(|length| length.min(max_body));
-    let mut payload = request.take_payload();
-    let Some(hold) = BodyHold::acquire(held, declared.unwrap_or(max_body), limits) else {
-        let _ = timeout(DISCARD_TIMEOUT, discard(&mut payload)).await;
-        return text_response(StatusCode::SERVICE_UNAVAILABLE, "no memory for the body");
+/// Reads the body of a request, or returns why it is refused.
+async fn read_body(
+    listener: &ServedListener,
+    connection: &mut ServerConnection,
+    request: &Request,
+) -> Result<Result<HttpRequest, HttpResponse>, ConnectionError> {
+    let max_body = listener.limits.each;
+    let declared = declared_length(request).map(|length| length.min(max_body));
+    let size = declared.unwrap_or(max_body);
+    let Some(hold) = BodyHold::acquire(&listener.held, size, listener.limits) else {
+        discard(connection).await;
+        let message = "no memory for the body";
+        return Ok(Err(text_response(StatusCode::SERVICE_UNAVAILABLE, message)));
     };
+    if request.head().expect() {
+        connection.accept_body().await?;
+    }
     let mut body = BytesMut::with_capacity(declared.unwrap_or(0));
-    while let Some(chunk) = payload.next().await {
-        let Ok(chunk) = chunk else { return text_response(StatusCode::BAD_REQUEST, "broken body") };
+    loop {
+        let chunk = match connection.chunk().await {
+            Ok(Some(chunk)) => chunk,
+            Ok(None) => break,
+            Err(ConnectionError::Malformed(_) | ConnectionError::BadBody(_)) => {
+                return Ok(Err(text_response(StatusCode::BAD_REQUEST, "broken body")));
+            }
+            Err(error) => return Err(error),
+        };
         if body.len() + chunk.len() > max_body {
             // The refusal is sent even if the body was not read completely.
-            let _ = timeout(DISCARD_TIMEOUT, discard(&mut payload)).await;
+            discard(connection).await;
             let message = format!("the body is larger than {max_body} bytes");
-            return text_response(StatusCode::PAYLOAD_TOO_LARGE, &message);
+            return Ok(Err(text_response(StatusCode::PAYLOAD_TOO_LARGE, &message)));
         }
         body.extend_from_slice(&chunk);
     }
-    let request = HttpRequest {
+    Ok(Ok(HttpRequest {
         method: request.method().clone(),
         path: request.path().into(),
         query: request.uri().query().unwrap_or_default().into(),
         forwarded: request.headers().contains_key(FORWARDED_HEADER),
         body: body.freeze(),
         hold,
-    };
-    handler(request).await
+    }))
 }
 
 #[derive(Serialize)]
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -2,6 +2,7 @@
 
 pub(crate) mod framed;
 pub(crate) mod http_client;
+pub(crate) mod http_connection;
 pub(crate) mod http_server;
 pub(crate) mod line_budget;
 pub(crate) mod line_sink;
