Bound the size that a datagram announces

Cause: a packed message is allocated by the size in its first bytes, up to 64 MB, before it is read. The heap keeps 30 MB of it.

Change: 1 MB at the most, 16 times the largest datagram.

--- a/src/node/peers/codec.rs
+++ b/src/node/peers/codec.rs
@@ -11,6 +11,16 @@
 use crate::core::timeline::CausalStamp;
 use crate::peer_capnp::{MemberState as WireState, gossip, member_update, permit_request, stamp};
 
+/// A message is allocated by the size that it announces, before it is read. Those of a datagram are
+/// smaller by far.
+const MAX_GOSSIP_WORDS: usize = 128 * 1024;
+
+fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_GOSSIP_WORDS));
+    options
+}
+
 pub(crate) fn encode_gossip(message: &GossipMessage) -> Vec<u8> {
     let mut builder = Builder::new_default();
     let mut root = builder.init_root::<gossip::Builder<'_>>();
@@ -36,7 +46,7 @@
 }
 
 pub(crate) fn decode_gossip(bytes: &[u8]) -> Result<GossipMessage, capnp::Error> {
-    let reader = serialize_packed::read_message(bytes, ReaderOptions::new())?;
+    let reader = serialize_packed::read_message(bytes, reader_options())?;
     let root = reader.get_root::<gossip::Reader<'_>>()?;
     let body = match root.which()? {
         gossip::Ping(()) => GossipBody::Ping,
