--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -167,7 +167,7 @@
             ("address_keep_seconds", self.address_keep_seconds),
         ];
         for (key, value) in seconds {
-            if !(value >= 0.0 && value < 3_600.0) {
+            if !(0.0..3_600.0).contains(&value) {
                 return Err(invalid(key, &value.to_string(), "0 or more and below 3600"));
             }
         }
