Ask the soak for ends of processes, their memory and their addresses

The soak reported `own_end` without failing, dropped the log, and had no upstream without end, no client at the other addresses and no start beside a taken address; memory was not looked at.

Now an end of a process by itself and memory over the limit fail a run, with the last lines of the log, and the largest memory is printed.

--- a/tests/process_soak.rs
+++ b/tests/process_soak.rs
@@ -18,6 +18,7 @@
 use soak::engines::EngineFleet;
 use soak::fleet::{Fleet, supervise};
 use soak::ledger::RequestLedger;
+use soak::pressure::ask_without_reading;
 use soak::schedule::{plan, play};
 use soak::{SoakSettings, SoakWorld};
 
@@ -62,6 +63,7 @@
     let lag = Rc::new(Cell::default());
     actix_rt::spawn(watch_lag(lag.clone()));
     let supervision = actix_rt::spawn(supervise(world.clone()));
+    actix_rt::spawn(ask_without_reading(world.clone()));
     let beating = world.clone();
     actix_rt::spawn(async move { beating.engines.keep_beating().await });
     let mut callers: Vec<_> = (0..settings.shape.callers(settings.processes))
--- a/tests/process_soak/engines.rs
+++ b/tests/process_soak/engines.rs
@@ -7,6 +7,8 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_200);
 /// While an engine misbehaves, one in this many answers is spoilt.
 const SPOILT_SHARE: u32 = 3;
+const FLOOD_PIECES: usize = 32;
+const FLOOD_PIECE_BYTES: usize = 256 * 1024;
 /// Stands for an answer that was never sent whole.
 const NO_ANSWER: &str = "none";
 /// Work before the answer in ms, events, pause after each in ms, bytes of an answer without events.
@@ -28,6 +30,8 @@
     BrokenOff,
     /// Bytes after the end of the answer.
     Trailing,
+    /// Far more of an event, or of a body, than an answer has.
+    Flood,
 }
 
 /// A request that an engine began to run.
@@ -213,11 +217,19 @@
         });
         sleep(Duration::from_millis(pause)).await;
         let head = format!("{head}merlinsaddle-server-stamp: {stamp}\r\n");
-        spoil(answer_steps(&head, &body, &events, Duration::from_millis(gap)), spoilt)
+        match spoilt {
+            Some(SpoiltAnswer::Flood) => flood(&head, !events.is_empty()),
+            _ => spoil(answer_steps(&head, &body, &events, Duration::from_millis(gap)), spoilt),
+        }
     }
 
     fn spoilt(&self) -> Option<SpoiltAnswer> {
-        let kinds = [SpoiltAnswer::Noise, SpoiltAnswer::BrokenOff, SpoiltAnswer::Trailing];
+        let kinds = [
+            SpoiltAnswer::Noise,
+            SpoiltAnswer::BrokenOff,
+            SpoiltAnswer::Trailing,
+            SpoiltAnswer::Flood,
+        ];
         let number = self.runs.get();
         let is_spoilt = self.is_spoiling.get() && number.is_multiple_of(SPOILT_SHARE);
         is_spoilt.then(|| kinds[(number / SPOILT_SHARE) as usize % kinds.len()])
@@ -235,12 +247,22 @@
     std::iter::once(begin).chain(chunks).chain([Step::Send(b"0\r\n\r\n".to_vec())]).collect()
 }
 
+/// An answer that breaks off after an event without an end.
+fn flood(head: &str, is_stream: bool) -> Vec<Step> {
+    let kind = if is_stream { "content-type: text/event-stream\r\n" } else { "" };
+    let head = format!("HTTP/1.1 200 OK\r\n{head}{kind}transfer-encoding: chunked\r\n\r\n");
+    let piece = "x".repeat(FLOOD_PIECE_BYTES);
+    let piece = Step::Send(format!("{FLOOD_PIECE_BYTES:x}\r\n{piece}\r\n").into());
+    let pieces = std::iter::repeat_n(piece, FLOOD_PIECES);
+    std::iter::once(Step::Send(head.into())).chain(pieces).chain([Step::Close]).collect()
+}
+
 fn spoil(mut steps: Vec<Step>, spoilt: Option<SpoiltAnswer>) -> Vec<Step> {
     let noise = Step::Send(b"\x00\xffHTTQ/9 no answer\r\n\r\n".to_vec());
     match spoilt {
         None => {}
         Some(SpoiltAnswer::Noise) => steps = vec![noise, Step::Close],
-        Some(SpoiltAnswer::Trailing) => steps.push(noise),
+        Some(SpoiltAnswer::Trailing | SpoiltAnswer::Flood) => steps.push(noise),
         Some(SpoiltAnswer::BrokenOff) => {
             steps.truncate(steps.len().div_ceil(2));
             if let Some(Step::Send(bytes)) = steps.last_mut() {
--- a/tests/process_soak/fleet.rs
+++ b/tests/process_soak/fleet.rs
@@ -1,11 +1,13 @@
 //! The processes, restarted when they end, and a record of all that disturbed them.
 
+use super::pressure::take_address;
 use super::*;
 
 const GOSSIP_PORT: u16 = 7380;
 const GRACE: Duration = Duration::from_secs(8);
 const MEMORY_MB: u64 = 130;
 const MAX_SEEDS: usize = 3;
+const LAST_LINES: usize = 20;
 const SUPERVISION_INTERVAL: Duration = Duration::from_millis(10);
 /// How long a process or the deployment counts as disturbed after the end of a disturbance.
 const AFTERMATH: Duration = Duration::from_secs(3);
@@ -94,7 +96,8 @@
             let own = json!({
                 "zone": shape.zone(number, count), "region": shape.region(),
                 "caller_address": callers, "directory_address": directory,
-                "peer_address": format!("{ip}:8144"), "grace_seconds": GRACE.as_secs(),
+                "peer_address": format!("{ip}:8144"), "ready_address": format!("{ip}:8141"),
+                "grace_seconds": GRACE.as_secs(),
                 "address_keep_seconds": shape.address_ttl_seconds(), "memory_mb": MEMORY_MB,
             });
             let settings = gateway_settings(ip, &store_link.address, GOSSIP_PORT, &seeds, &own);
@@ -138,6 +141,16 @@
         spare.start();
     }
 
+    pub fn ip(&self, process: usize) -> &str {
+        self.members[process].ip()
+    }
+
+    /// How often a process was started.
+    pub fn starts(&self, process: usize) -> usize {
+        let member = &self.members[process];
+        member.earlier.borrow().len() + usize::from(member.process.borrow().is_some())
+    }
+
     pub fn begin(&self, kind: Disturbance, process: Option<usize>) {
         let from = Instant::now();
         self.records.borrow_mut().push(DisturbanceRecord { kind, process, from, until: None });
@@ -236,6 +249,22 @@
         earlier + &self.process.borrow().as_ref().map(GatewayProcess::log).unwrap_or_default()
     }
 
+    fn ip(&self) -> &str {
+        self.callers.split(':').next().unwrap_or_default()
+    }
+
+    /// The last lines of its log, to tell why it ended.
+    fn last_lines(&self) -> String {
+        let logs = self.logs();
+        let lines: Vec<&str> = logs.lines().collect();
+        lines[lines.len().saturating_sub(LAST_LINES)..].join("\n    ")
+    }
+
+    fn resident_megabytes(&self) -> u64 {
+        let process = self.process.borrow();
+        process.as_ref().map_or(0, |process| process.resident_memory() / (1024 * 1024))
+    }
+
     fn is_listed(&self) -> bool {
         self.process.borrow().is_some() && !self.is_removed.get()
     }
@@ -245,7 +274,7 @@
     }
 
     fn start(&self) {
-        let ip = self.callers.split(':').next().unwrap_or_default();
+        let ip = self.ip();
         self.earlier.borrow_mut().extend(self.process.take());
         let name = format!("soak-{ip}-{}", self.earlier.borrow().len());
         self.process.replace(Some(GatewayProcess::spawn(&name, &self.settings)));
@@ -267,6 +296,13 @@
             let is_killed = has(Disturbance::Kill, Duration::ZERO);
             let ended = member.process.borrow_mut().as_mut().and_then(GatewayProcess::try_end);
             let Some(status) = ended else {
+                let megabytes = member.resident_megabytes();
+                world.ledger.observe_memory(megabytes);
+                if megabytes > MEMORY_MB {
+                    let text = format!("megabytes={megabytes} {}", member.last_lines());
+                    world.ledger.find("memory", &format!("process-{number}").into(), text);
+                    fleet.signal(number, Disturbance::Kill);
+                }
                 if !is_killed && has(Disturbance::Term, GRACE) {
                     world.ledger.count("stops_late");
                     fleet.signal(number, Disturbance::Kill);
@@ -278,7 +314,7 @@
                 world.ledger.find(
                     "own_end",
                     &format!("process-{number}").into(),
-                    status.to_string(),
+                    format!("{status}\n    {}", member.last_lines()),
                 );
             }
             member.is_up.set(false);
@@ -293,6 +329,7 @@
             let world = world.clone();
             actix_rt::spawn(async move {
                 sleep(pause).await;
+                take_address(&world, number).await;
                 world.fleet.members[number].start();
             });
         }
--- a/tests/process_soak/ledger.rs
+++ b/tests/process_soak/ledger.rs
@@ -157,6 +157,13 @@
         *self.counts.borrow_mut().entry(name.into()).or_default() += 1;
     }
 
+    /// Records the largest memory of a process, in megabytes.
+    pub fn observe_memory(&self, megabytes: u64) {
+        let mut counts = self.counts.borrow_mut();
+        let peak = counts.entry("peak_mb".to_owned()).or_default();
+        *peak = megabytes.max(*peak);
+    }
+
     pub fn find(&self, kind: impl Into<String>, id: &RequestId, text: impl Into<String>) {
         let kind = kind.into();
         self.count(kind.clone());
@@ -335,11 +342,11 @@
         counts.iter().map(|(name, count)| format!(" {name}={count}")).collect()
     }
 
-    /// Findings that must not be. Requests that end beside an unplanned disturbance elsewhere and late
+    /// Findings that must not be, ends of processes and memory beyond their limit among them. Requests that end beside an unplanned disturbance elsewhere and late
     /// answers are only reported.
     pub fn failures(&self) -> Vec<String> {
         let counts = self.counts.borrow();
-        let kinds = ["a_", "b_", "c", "d_", "e", "f", "h_", "i_"];
+        let kinds = ["a_", "b_", "c", "d_", "e", "f", "h_", "i_", "memory", "own_end"];
         let requests = counts.get("requests").copied().unwrap_or_default();
         let allowed = |name: &str| match name {
             "i_denied" => MAX_DENIED + requests / REQUESTS_PER_DENIED,
--- a/tests/process_soak/mod.rs
+++ b/tests/process_soak/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet;
 pub mod ledger;
 pub mod link;
+pub mod pressure;
 pub mod programs;
 pub mod schedule;
 pub mod shape;
