Open no connections once a closing queue is emptied

Cause: the kernel completes connections until the listener closes, also after its queue was found empty.

Change: before the queue is emptied, a filter on the listener drops packets that open connections, and those under way have 50 ms to be completed. A caller's opening packet is sent again after a second, and refused then. Where the kernel refuses filters, the stop is as before.

--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{SockFilter, SockRef};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, timeout};
 
@@ -30,6 +30,18 @@
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Classic BPF that drops the packets that open connections, and accepts others: those under way are
+/// completed.
+const DROP_OPENING_PACKETS: [SockFilter; 4] = [
+    // Load the flags of the TCP header; drop if SYN is set.
+    SockFilter::new(0x30, 0, 0, 13),
+    SockFilter::new(0x45, 0, 1, 0x02),
+    SockFilter::new(0x06, 0, 0, 0),
+    SockFilter::new(0x06, 0, 0, u32::MAX),
+];
+/// For connections under way to be completed once no more are opened.
+const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
+
 /// Counts a request, a connection or a listener as open until it is dropped.
 struct OpenGuard {
     gateway: Rc<Gateway>,
@@ -75,6 +87,14 @@
 /// Accepts what waits in the listener's queue, as closing the listener would reset it. Descriptors may be
 /// lacking until idle connections have closed, so the queue is tried until the end of the grace period.
 async fn serve_backlog(gateway: &Rc<Gateway>, listener: &TcpListener) {
+    // Otherwise a connection that is completed after the last look at the queue would be reset.
+    match SockRef::from(listener).attach_filter(&DROP_OPENING_PACKETS) {
+        Ok(()) => tokio::select! {
+            () = sleep(HANDSHAKE_TIME) => {}
+            () = gateway.stop.cut_off() => {}
+        },
+        Err(error) => log::debug!("event=socket_option_refused option=filter error=\"{error}\""),
+    }
     let emptied = async {
         while let Err(error) = accept_waiting(gateway, listener) {
             log::warn!("event=accept_failed error=\"{error}\"");
