Tell of memory near its limit, and of resident memory

`memory_high` and `memory_low` tell when resident memory passes 75 and 65 % of the limit, with what requests and the cache hold, looked at each second; `gateway_resident_bytes` is the gauge.

--- a/src/gateway/memory/mod.rs
+++ b/src/gateway/memory/mod.rs
@@ -3,6 +3,7 @@
 mod buffer;
 #[cfg(test)]
 mod gate_tests;
+mod resident;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,6 +15,7 @@
 use tokio::time::{Instant, timeout};
 
 pub(crate) use buffer::BodyBuffer;
+pub(crate) use resident::{ResidentWatch, resident_bytes};
 
 use super::metrics::MemoryMeter;
 use crate::core::ids::RequestId;
--- a/src/gateway/metrics.rs
+++ b/src/gateway/metrics.rs
@@ -128,6 +128,8 @@
     /// Memory held by requests in flight.
     pub(crate) held_bytes: u64,
     pub(crate) held_bytes_bound: u64,
+    /// Resident memory of the process.
+    pub(crate) resident_bytes: u64,
     /// Turns that hold a token reservation or wait for one.
     pub(crate) reservations: u64,
     pub(crate) store_batches: u64,
@@ -165,6 +167,7 @@
     open_calls: Gauge<u64>,
     held_bytes: Gauge<u64>,
     held_bytes_bound: Gauge<u64>,
+    resident_bytes: Gauge<u64>,
     reservations: Gauge<u64>,
     reserved: Counter<u64>,
     programs: Counter<u64>,
@@ -211,6 +214,7 @@
             open_calls: meter.u64_gauge("gateway_open_calls").build(),
             held_bytes: meter.u64_gauge("gateway_held_bytes").build(),
             held_bytes_bound: meter.u64_gauge("gateway_held_bytes_bound").build(),
+            resident_bytes: meter.u64_gauge("gateway_resident_bytes").build(),
             reservations: meter.u64_gauge("gateway_open_reservations").build(),
             reserved: meter.u64_counter("gateway_reservations").build(),
             programs: meter.u64_counter("gateway_programs").build(),
@@ -345,6 +349,7 @@
         self.open_calls.record(sample.open_calls, &[]);
         self.held_bytes.record(sample.held_bytes, &[]);
         self.held_bytes_bound.record(sample.held_bytes_bound, &[]);
+        self.resident_bytes.record(sample.resident_bytes, &[]);
         self.reservations.record(sample.reservations, &[]);
         self.store_batches.record(sample.store_batches, &[]);
         self.store_outage_seconds.record(sample.store_outage.as_secs_f64(), &[]);
--- a/src/gateway/mod.rs
+++ b/src/gateway/mod.rs
@@ -41,7 +41,7 @@
 use http::ConnectionPool;
 use load::{LoadDemand, SharedLoad};
 use members::MemberView;
-use memory::MemoryGate;
+use memory::{MemoryGate, resident_bytes};
 use metrics::{GatewayMetrics, GatewaySample, ServiceSample};
 use quotas::QuotaEnforcer;
 use readiness::AdvertisedReadiness;
@@ -126,6 +126,7 @@
             open_calls: self.open_calls.get().into(),
             held_bytes: self.memory.held() as u64,
             held_bytes_bound: self.memory.bound() as u64,
+            resident_bytes: resident_bytes().unwrap_or_default(),
             reservations: self.turns.reservations(),
             store_batches: self.committer.batches(),
             store_outage: self.store.outage().unwrap_or_default(),
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -19,7 +19,7 @@
 use super::http::ConnectionPool;
 use super::load::{LoadDemand, SharedLoad, SharedUpstreams};
 use super::members::MemberView;
-use super::memory::MemoryGate;
+use super::memory::{MemoryGate, ResidentWatch};
 use super::metrics::GatewayMetrics;
 use super::quotas::{MemberCounter, MinMembers, QuotaClient, QuotaEnforcer, ShareEnforcer};
 use super::readiness::AdvertisedReadiness;
@@ -267,12 +267,14 @@
     /// Updates the advertised readiness, prunes idle connections, and reacts to membership and
     /// route changes that peers report.
     async fn run_maintenance(self: Rc<Self>) {
+        let memory = ResidentWatch::new(self.settings.memory_bytes());
         let mut seen_changes = self.members.changes();
         let mut seen_coordinators = self.members.coordinators();
         loop {
             self.update_readiness();
             self.pool.prune();
             self.losses.prune();
+            self.log_memory_level(&memory);
             let changes = self.members.changes();
             if std::mem::replace(&mut seen_changes, changes) != changes || self.is_draining() {
                 self.turns.release_reassigned_allowances(|programs| {
@@ -294,6 +296,20 @@
         }
     }
 
+    fn log_memory_level(&self, memory: &ResidentWatch) {
+        let Some(level) = memory.check() else { return };
+        let name = if level.is_high { "memory_high" } else { "memory_low" };
+        log::warn!(
+            "event={name} resident={} limit={} held={} cached={} open_calls={} open_connections={}",
+            level.resident,
+            level.limit,
+            self.memory.held(),
+            self.turns.cached_bytes(),
+            self.open_calls.get(),
+            self.open_connections.get()
+        );
+    }
+
     /// Reads the routes at once if a peer has a newer version, since the instance's own pending
     /// read of the change feed may hang on a dead connection.
     async fn fetch_newer_routes(&self) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -233,6 +233,10 @@
         MAX_ADDRESS_TTL.min(Duration::from_secs_f64(self.address_keep_seconds))
     }
 
+    pub(crate) fn memory_bytes(&self) -> u64 {
+        self.memory_mb.saturating_mul(MEGABYTE)
+    }
+
     pub fn cache_bytes(&self) -> usize {
         (self.memory_mb * MEGABYTE / CACHE_DIVISOR) as usize
     }
