Bound the heads that arrive and the input that is dropped

What callers saw: 4,000 connections with heads that are too large raise a process from 10 to 268 MB (release, trial), as each connection whose rest is dropped had a buffer of 64 KB for up to a second; with half heads of 15 KB to 65 MB, which no bound counted. The platform kills the process at its limit, with all requests.

Change: input is dropped into one buffer that all connections share. A head of more than 4 KB that is not complete needs memory as a request of the least urgent rank does, and gets 503 `memory_full` without it. Pipelined input is read ahead up to 16 KB, which the permit of the running call covers (64 KB before).

--- a/src/gateway/http/caller.rs
+++ b/src/gateway/http/caller.rs
@@ -17,6 +17,7 @@
 use tokio::io::{AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout, timeout_at};
 use tokio_util::codec::{Decoder, Encoder};
 
@@ -24,8 +25,8 @@
 use crate::core::routing::CallerLimits;
 use crate::gateway::memory::{BodyBuffer, CALL_BYTES, MemoryFull, MemoryPermit};
 
-/// Limit for pipelined input that is buffered while a request is served.
-const MAX_READ_AHEAD: usize = 64 * 1024;
+/// Limit for pipelined input that is buffered while a request is served. Part of [`CALL_BYTES`].
+const MAX_READ_AHEAD: usize = 16 * 1024;
 /// Longer than the retransmission of a lost packet.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Written at a time of a body.
@@ -35,6 +36,11 @@
 /// Read at a time of a body.
 const READ_BYTES: usize = 64 * 1024;
 
+thread_local! {
+    /// Shared by all connections whose input is dropped; there may be as many as descriptors.
+    static DISCARDED: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_BYTES].into());
+}
+
 /// Limit for a response that the gateway generates. It blocks only if the caller has not read earlier
 /// ones, and is sent when the request's deadline may have passed.
 const SHORT_ANSWER_TIMEOUT: Duration = Duration::from_secs(2);
@@ -186,7 +192,13 @@
         !self.buffer.is_empty() || matches!(peek(), Ok(count) if count > 0)
     }
 
-    pub(crate) async fn head(&mut self, limits: &CallerLimits) -> Result<CallerRequest, ReadError> {
+    /// Reads the head of a request. A large one needs memory, as there may be one on each connection.
+    pub(crate) async fn head(
+        &mut self,
+        limits: &CallerLimits,
+        memory: &MemoryPermit,
+    ) -> Result<CallerRequest, ReadError> {
+        let mut is_large = false;
         let deadline = Instant::now() + limits.header_timeout;
         loop {
             let size = self.buffer.len();
@@ -201,6 +213,10 @@
             if self.buffer.len() > limits.header_bytes {
                 return Err(ReadError::HeadTooLarge { limit: limits.header_bytes });
             }
+            if self.buffer.len() > KEPT_BYTES && !is_large {
+                memory.acquire(limits.header_bytes, Duration::ZERO).await?;
+                is_large = true;
+            }
             self.fill(deadline).await?;
         }
     }
@@ -282,11 +298,13 @@
 
     /// Reads and drops input until the caller closes the connection.
     pub(crate) async fn discard(&mut self) {
-        loop {
-            self.buffer.clear();
-            self.buffer.reserve(READ_BYTES);
-            if !matches!(self.half.read_buf(&mut self.buffer).await, Ok(read) if read > 0) {
-                return;
+        self.buffer = BytesMut::new();
+        while self.half.readable().await.is_ok() {
+            match DISCARDED.with_borrow_mut(|bytes| self.half.try_read(bytes)) {
+                Ok(0) => return,
+                Ok(_) => yield_now().await,
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(_) => return,
             }
         }
     }
--- a/src/gateway/http/caller_tests.rs
+++ b/src/gateway/http/caller_tests.rs
@@ -48,9 +48,9 @@
     fill(&stream).await;
     caller.write_all(HEAD).await.expect("the connection is open");
     let (mut reader, mut writer) = split_caller(stream);
-    let request = reader.head(&LIMITS).await.expect("a head");
     let gate = Rc::new(MemoryGate::new(BOUNDS, GatewayMetrics::new("test").memory_meter()));
     let memory = gate.permit("r".into(), 0);
+    let request = reader.head(&LIMITS, &memory).await.expect("a head");
     let deadline = Instant::now() + DEADLINE;
     let body = reader.body(&request, &mut writer, 1_024, deadline, &memory, DEADLINE);
     let read = timeout(4 * DEADLINE, body).await.expect("it is given up");
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -13,6 +13,7 @@
 use super::Gateway;
 use super::http::{CallerReader, CallerWriter, CloseReason, ReadError, split_caller};
 use super::refusal::Refusal;
+use crate::core::ids::RequestId;
 use crate::core::routing::CallerLimits;
 
 /// Used until the routes have been read.
@@ -27,6 +28,8 @@
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Limit for the runtime to report input that the socket has.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(1);
+/// Rank of a request whose head is being read.
+const LEAST_URGENT: u8 = u8::MAX;
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -182,9 +185,10 @@
     let arrived = Instant::now();
     let _open = OpenGuard::new(gateway, |gateway| &gateway.open_calls);
     let limits = caller_limits(gateway);
+    let memory = gateway.memory.permit(RequestId::default(), LEAST_URGENT);
     let head = tokio::select! {
         biased;
-        head = reader.head(&limits) => head,
+        head = reader.head(&limits, &memory) => head,
         () = gateway.stop.cut_off() => return gateway.refuse_unread(writer).await,
     };
     let request = match head {
@@ -198,6 +202,7 @@
             return sent.and(Err(CloseReason::Announced));
         }
     };
+    drop(memory);
     // On the heap, as the state of a call is large and most connections are idle.
     Box::pin(gateway.serve_call(request, arrived, reader, writer)).await
 }
