Bound connections only at the addresses of a gateway but the callers'

The server is shared with `serve` and the stand-ins, whose callers connect to it: an instance of the target has more than a thousand programs. The bound of 1,500 connections is that of the peers', the directory's and the readiness address now. Besides, a test of the memory that answers hold.

--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -32,13 +32,15 @@
 use super::turns::TurnManager;
 use crate::core::turns::gains_programs;
 use crate::node::LaunchError;
-use crate::util::http_server::{BodyLimits, HttpHandler, serve_http};
+use crate::util::http_server::{HttpHandler, ListenerLimits, serve_http};
 use crate::util::supervise::spawn_supervised;
 
 /// Fits a relayed store transaction of the largest size, which is Base64-encoded twice.
 const MAX_PEER_BODY: usize = 4 * 1024 * 1024;
 /// Of what is left for the process.
 const MAX_PEER_BODIES: usize = 2 * MAX_PEER_BODY;
+/// Of one address but that of callers. Fits the peers of a fleet, and leaves most descriptors to callers.
+const MAX_CONNECTIONS: usize = 1_500;
 /// Carries 5 MB/s at a round trip of 25 ms.
 const RECEIVE_BUFFER_BYTES: usize = 128 * 1024;
 /// The ready and directory addresses take no bodies.
@@ -207,9 +209,11 @@
     let ready = ready_handler(gateway.clone());
     let directory = directory_handler(gateway.clone());
     let peers = peer_handler(gateway.clone());
-    let peer_limits = BodyLimits { each: MAX_PEER_BODY, together: MAX_PEER_BODIES };
-    supervise_http("ready_server", sockets.ready, MAX_QUERY_BODY.into(), ready);
-    supervise_http("directory_server", sockets.directory, MAX_QUERY_BODY.into(), directory);
+    let connections = MAX_CONNECTIONS;
+    let peer_limits = ListenerLimits { body: MAX_PEER_BODY, bodies: MAX_PEER_BODIES, connections };
+    let query_limits = ListenerLimits { connections, ..MAX_QUERY_BODY.into() };
+    supervise_http("ready_server", sockets.ready, query_limits, ready);
+    supervise_http("directory_server", sockets.directory, query_limits, directory);
     supervise_http("peer_server", sockets.peers, peer_limits, peers);
     let callers = Rc::new((gateway.clone(), sockets.callers));
     supervise("caller_server", &callers, |callers| async move {
@@ -231,7 +235,7 @@
 fn supervise_http(
     name: &'static str,
     listener: TcpListener,
-    limits: BodyLimits,
+    limits: ListenerLimits,
     handler: HttpHandler,
 ) {
     supervise(name, &Rc::new(listener), move |listener| {
--- a/src/util/http_server.rs
+++ b/src/util/http_server.rs
@@ -39,17 +39,21 @@
     }
 }
 
-/// Bounds on the bodies of a listener.
+/// Bounds on what the clients of a listener send.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct BodyLimits {
-    pub(crate) each: usize,
-    /// For all that are larger than [`SMALL_BODY_BYTES`] together.
-    pub(crate) together: usize,
+pub(crate) struct ListenerLimits {
+    /// Bytes of a body.
+    pub(crate) body: usize,
+    /// Bytes of all bodies that are larger than [`SMALL_BODY_BYTES`].
+    pub(crate) bodies: usize,
+    /// Open connections.
+    pub(crate) connections: usize,
 }
 
-impl From<usize> for BodyLimits {
-    fn from(each: usize) -> Self {
-        Self { each, together: usize::MAX }
+impl From<usize> for ListenerLimits {
+    /// Bounds each body alone.
+    fn from(body: usize) -> Self {
+        Self { body, bodies: usize::MAX, connections: usize::MAX }
     }
 }
 
@@ -62,9 +66,9 @@
 
 impl BodyHold {
     /// `None` if there is no room for a body of this size.
-    fn acquire(held: &Rc<Cell<usize>>, size: usize, limits: BodyLimits) -> Option<Self> {
+    fn acquire(held: &Rc<Cell<usize>>, size: usize, limits: ListenerLimits) -> Option<Self> {
         let bytes = if size > SMALL_BODY_BYTES { size } else { 0 };
-        let total = held.get().checked_add(bytes).filter(|total| *total <= limits.together)?;
+        let total = held.get().checked_add(bytes).filter(|total| *total <= limits.bodies)?;
         held.set(total);
         Some(Self { held: held.clone(), bytes })
     }
@@ -82,8 +86,6 @@
 /// Header that prevents a request from being forwarded twice.
 pub(crate) const FORWARDED_HEADER: &str = "x-merlinsaddle-forwarded";
 const KEEP_ALIVE: Duration = Duration::from_secs(30);
-/// Of one listener. Fits the peers of a fleet, and leaves most descriptors to callers.
-const MAX_CONNECTIONS: usize = 1_500;
 /// An idle connection is closed after this time where half of them are open.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -104,7 +106,7 @@
 /// Accepts connections until its task is dropped.
 pub(crate) async fn serve_http(
     listener: &TcpListener,
-    limits: impl Into<BodyLimits>,
+    limits: impl Into<ListenerLimits>,
     handler: HttpHandler,
 ) {
     let shared = Rc::new(ServedListener {
@@ -118,7 +120,7 @@
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if shared.open.get() >= MAX_CONNECTIONS {
+        if shared.open.get() >= shared.limits.connections {
             log::warn!("event=connection_refused peer={peer} open={}", shared.open.get());
             continue;
         }
@@ -128,7 +130,7 @@
 
 /// What the connections of a listener share.
 struct ServedListener {
-    limits: BodyLimits,
+    limits: ListenerLimits,
     handler: HttpHandler,
     /// Bytes of large bodies.
     held: Rc<Cell<usize>>,
@@ -177,7 +179,7 @@
 ) -> Result<bool, ConnectionError> {
     let idle_since = Instant::now();
     while !connection.has_input(IDLE_CHECK_INTERVAL).await? {
-        let is_crowded = listener.open.get() > MAX_CONNECTIONS / 2;
+        let is_crowded = listener.open.get() > listener.limits.connections / 2;
         if is_crowded || idle_since.elapsed() >= KEEP_ALIVE {
             return Ok(false);
         }
@@ -228,7 +230,7 @@
     connection: &mut ServerConnection,
     request: &Request,
 ) -> Result<Result<HttpRequest, HttpResponse>, ConnectionError> {
-    let max_body = listener.limits.each;
+    let max_body = listener.limits.body;
     let declared = declared_length(request).map(|length| length.min(max_body));
     let size = declared.unwrap_or(max_body);
     let Some(hold) = BodyHold::acquire(&listener.held, size, listener.limits) else {
--- a/tests/request_memory.rs
+++ b/tests/request_memory.rs
@@ -312,3 +312,22 @@
     order.push(ledger.release(LARGE));
     assert_eq!(order, [vec![], vec![growing], vec![known], vec![], vec![next]]);
 }
+
+/// Guards against answers that are cut off although they are small, or held without a bound.
+#[test]
+fn answers_are_held_as_far_as_there_is_memory() {
+    let mut ledger = MemoryLedger::new(bounds());
+    let mut answer = 0;
+    while ledger.hold_answer(answer + LARGE, LARGE) {
+        answer += LARGE;
+    }
+    assert_eq!(answer, bounds().total / LARGE * LARGE);
+    let large = ledger.request(request(0, LARGE)).0;
+    assert!(matches!(large, MemoryDecision::Waiting(_)), "{large:?}");
+    // An answer that runs does not wait behind it, and a small one is held in any case.
+    let left = bounds().total - answer;
+    assert!(ledger.hold_answer(left, left));
+    assert!(!ledger.hold_answer(left, 1));
+    assert!(ledger.hold_answer(16 * 1024, 1));
+    assert_eq!(ledger.held(), bounds().total + 1);
+}
