Read the change again: tests that could pass, figures, names

- closed_outputs_do_not_change_the_status passed on, as standard streams that are closed take each write.
Output to a full device is a second case.
- The tests of a stop's late requests did not look at its status: 0 for calls and turns, 8 where idempotent calls are cut off.
- The check that a process of head_memory still runs waited for what holds at once; it is an assertion.
The filter's instructions have names.

--- a/src/gateway/memory/mod.rs
+++ b/src/gateway/memory/mod.rs
@@ -239,7 +239,7 @@
     }
 
     /// Holds `to` bytes in place of `from` for the answer of a request that runs. A small answer always
-    /// gets them, as it was paid for by its upstream; returns false if a larger one does not get them.
+    /// gets them, as its upstream has done the work; returns false if a larger one does not get them.
     pub(crate) fn try_resize(&self, from: usize, to: usize) -> bool {
         let Some(more) = to.checked_sub(from) else {
             self.release(from - to);
--- a/src/gateway/server.rs
+++ b/src/gateway/server.rs
@@ -33,14 +33,23 @@
 /// Delay after a failed accept, which is usually due to a lack of file descriptors.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// Position of the flags in a TCP header (RFC 9293, 3.1).
+const TCP_FLAGS_OFFSET: u32 = 13;
+const TCP_SYN: u32 = 0x02;
+
+/// An instruction; `skip_unset` are those to skip where a tested bit is not set.
+const fn bpf(code: u32, skip_unset: u8, operand: u32) -> SockFilter {
+    SockFilter::new(code as u16, 0, skip_unset, operand)
+}
+
 /// Classic BPF that drops the packets that open connections, and accepts others: those under way are
 /// completed.
 const DROP_OPENING_PACKETS: [SockFilter; 4] = [
-    // Load the flags of the TCP header; drop if SYN is set.
-    SockFilter::new(0x30, 0, 0, 13),
-    SockFilter::new(0x45, 0, 1, 0x02),
-    SockFilter::new(0x06, 0, 0, 0),
-    SockFilter::new(0x06, 0, 0, u32::MAX),
+    bpf(libc::BPF_LD | libc::BPF_B | libc::BPF_ABS, 0, TCP_FLAGS_OFFSET),
+    // If SYN is set, the next instruction, else the one after it.
+    bpf(libc::BPF_JMP | libc::BPF_JSET | libc::BPF_K, 1, TCP_SYN),
+    bpf(libc::BPF_RET | libc::BPF_K, 0, 0),
+    bpf(libc::BPF_RET | libc::BPF_K, 0, u32::MAX),
 ];
 /// For connections under way to be completed once no more are opened.
 const HANDSHAKE_TIME: Duration = Duration::from_millis(50);
--- a/tests/head_memory.rs
+++ b/tests/head_memory.rs
@@ -8,7 +8,7 @@
 
 use gateway_process::GatewayProcess;
 use platform_standin::http::Wire;
-use platform_standin::{Deployment, HOST, call, default_routes, manifest, wait_until};
+use platform_standin::{Deployment, HOST, call, default_routes, manifest};
 use rstest::rstest;
 use serde_json::json;
 use tokio::time::sleep;
@@ -51,7 +51,7 @@
     assert!(other.send(call("book", "other").as_bytes()).await);
     assert_eq!(other.read_message(true).await.expect("an answer").status(), 200);
     sleep(HOLD_TIME).await;
+    assert!(!process.has_ended());
     let growth = process.peak_memory().saturating_sub(idle);
     assert!(growth <= MAX_GROWTH, "{} MB", growth / MEGABYTE);
-    wait_until("it still runs", async || !process.has_ended()).await;
 }
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -35,11 +35,15 @@
 /// Guards against requests that may not be repeated, and that a stop takes and cuts off at its end; an
 /// idempotent one is told so.
 #[rstest]
-#[case::calls("book", &[200, 503])]
-#[case::turns("turn", &[200, 503])]
-#[case::idempotent("read", &[200, 503, 504])]
+#[case::calls("book", &[200, 503], 0)]
+#[case::turns("turn", &[200, 503], 0)]
+#[case::idempotent("read", &[200, 503, 504], 8)]
 #[actix_rt::test]
-async fn stop_cuts_off_no_request_that_it_takes(#[case] kind: &str, #[case] allowed: &[u16]) {
+async fn stop_cuts_off_no_request_that_it_takes(
+    #[case] kind: &str,
+    #[case] allowed: &[u16],
+    #[case] code: i32,
+) {
     let deployment = Deployment::start(0, ENGINES).await;
     for engine in &deployment.engines {
         let act = match kind {
@@ -49,7 +53,7 @@
         (0..REQUESTS).for_each(|_| engine.act(act.clone()));
     }
     let own = json!({ "address_keep_seconds": 5 });
-    let process =
+    let mut process =
         GatewayProcess::start_with(&own_ip(), GOSSIP_PORT, &deployment.store_address, &own).await;
     process.signal("-TERM");
     let stopped = Instant::now();
@@ -69,4 +73,5 @@
     let served = deployment.runs().len();
     assert_eq!(served, count(200) + count(504), "{outcomes:?}");
     wait_until("it has ended", async || process.has_ended()).await;
+    assert_eq!(process.try_end().and_then(|status| status.code()), Some(code));
 }
--- a/tests/starting_processes.rs
+++ b/tests/starting_processes.rs
@@ -43,34 +43,36 @@
     }
 }
 
+/// Starts a process whose address is held by another for a while; returns its log once it is ready.
+async fn start_beside<T>(ip: &str, holder: T) -> String {
+    let deployment = Deployment::start(0, 1).await;
+    let settings = settings_at(ip, &deployment.store_address, &json!({}));
+    let process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
+    sleep(TAKEN_TIME).await;
+    drop(holder);
+    wait_until("it is ready", async || process.log().contains("event=ready")).await;
+    process.log()
+}
+
 /// Guards against a start that gives up because an address is taken for a moment, as by a predecessor
 /// that still stops.
 #[rstest]
 #[actix_rt::test]
 async fn start_waits_for_an_address_that_is_taken(#[values(8141, 8143, 8144, 8149)] port: u16) {
-    let deployment = Deployment::start(0, 1).await;
     let ip = own_ip();
     let holder = TcpListener::bind((ip.as_str(), port)).await.expect("a free port");
-    let settings = settings_at(&ip, &deployment.store_address, &json!({}));
-    let process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
-    sleep(TAKEN_TIME).await;
-    drop(holder);
-    wait_until("it is ready", async || process.log().contains("event=ready")).await;
-    assert!(process.log().contains("event=address_taken"));
-    assert!(process.log().contains("event=addresses_bound"));
+    let log = start_beside(&ip, holder).await;
+    assert!(log.contains("event=address_taken"), "{log}");
+    assert!(log.contains("event=addresses_bound"), "{log}");
 }
 
 /// Guards against the same for the datagrams of the failure detector.
 #[actix_rt::test]
 async fn start_waits_for_a_port_of_datagrams_that_is_taken() {
-    let deployment = Deployment::start(0, 1).await;
     let ip = own_ip();
     let holder = UdpSocket::bind((ip.as_str(), GOSSIP_PORT)).await.expect("a free port");
-    let settings = settings_at(&ip, &deployment.store_address, &json!({}));
-    let process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
-    sleep(TAKEN_TIME).await;
-    drop(holder);
-    wait_until("it is ready", async || process.log().contains("event=ready")).await;
+    let log = start_beside(&ip, holder).await;
+    assert!(log.contains("event=address_taken"), "{log}");
 }
 
 /// Guards against the same where a connection of another process has the port.
@@ -228,13 +230,16 @@
     assert_eq!(status_of(&mut process).await.code(), Some(0));
 }
 
-/// Guards against a defect's status, or none, where standard output and error are closed.
+/// Guards against the status of a defect where standard output and error take no line.
+#[rstest]
+#[case::closed("closed", ">&- 2>&-")]
+#[case::full("full", ">/dev/full 2>/dev/full")]
 #[actix_rt::test]
-async fn closed_outputs_do_not_change_the_status() {
-    let (ip, dir) = (own_ip(), WorkDir::new("closed-outputs"));
+async fn outputs_do_not_change_the_status(#[case] name: &str, #[case] outputs: &str) {
+    let (ip, dir) = (own_ip(), WorkDir::new(&format!("outputs-{name}")));
     let settings = settings_at(&ip, NO_STORE, &json!({ "memory_mb": 0 }));
     let path = dir.file("settings.json", &settings.to_string());
-    let script = "exec \"$0\" gateway \"$1\" >&- 2>&-";
-    let status = Command::new("sh").args(["-c", script, &workdir::program(), &path]).status();
+    let script = format!("exec \"$0\" gateway \"$1\" {outputs}");
+    let status = Command::new("sh").args(["-c", &script, &workdir::program(), &path]).status();
     assert_eq!(status.expect("it runs").code(), Some(2));
 }
