--- a/tests/peer_memory.rs
+++ b/tests/peer_memory.rs
@@ -29,7 +29,7 @@
 /// Requests that are sent at once.
 const PIPELINED: usize = 200;
 /// More than an idle process needs.
-const MAX_GROWTH: usize = 24 * MEGABYTE;
+const MAX_GROWTH: usize = 12 * MEGABYTE;
 
 /// Guards against requests of peers that together exceed the memory of the process.
 #[rstest::rstest]
