--- a/tests/gateway_process/mod.rs
+++ b/tests/gateway_process/mod.rs
@@ -3,12 +3,16 @@
 #![allow(dead_code)]
 
 use std::process::{Child, Command, ExitStatus};
+use std::time::Duration;
 
 use serde_json::{Value, json};
+use tokio::time::{sleep, timeout};
 
-use crate::platform_standin::{gateway_settings, wait_until};
+use crate::platform_standin::{TEST_TIMEOUT, gateway_settings, wait_until};
 use crate::workdir::{WorkDir, logged_address};
 
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A running gateway, killed on drop.
 pub struct GatewayProcess {
     dir: WorkDir,
@@ -70,6 +74,19 @@
         self.child.try_wait().expect("it is a child of this process")
     }
 
+    /// Waits for its end. The status may come later than `has_ended`, which looks at the main thread.
+    pub async fn ended(&mut self) -> ExitStatus {
+        let end = async {
+            loop {
+                if let Some(status) = self.try_end() {
+                    return status;
+                }
+                sleep(POLL_INTERVAL).await;
+            }
+        };
+        timeout(TEST_TIMEOUT, end).await.expect("it ends")
+    }
+
     pub fn log(&self) -> String {
         self.dir.read("gateway.log")
     }
--- a/tests/late_requests.rs
+++ b/tests/late_requests.rs
@@ -10,7 +10,7 @@
 use gateway_process::GatewayProcess;
 use platform_standin::engine::EngineAct;
 use platform_standin::http::Wire;
-use platform_standin::{Deployment, call, turn, wait_until};
+use platform_standin::{Deployment, call, turn};
 use rstest::rstest;
 use serde_json::json;
 use tokio::net::TcpStream;
@@ -72,6 +72,5 @@
     assert!(cut.is_empty(), "{cut:?}");
     let served = deployment.runs().len();
     assert_eq!(served, count(200) + count(504), "{outcomes:?}");
-    wait_until("it has ended", async || process.has_ended()).await;
-    assert_eq!(process.try_end().and_then(|status| status.code()), Some(code));
+    assert_eq!(process.ended().await.code(), Some(code));
 }
--- a/tests/starting_processes.rs
+++ b/tests/starting_processes.rs
@@ -4,7 +4,7 @@
 mod platform_standin;
 mod workdir;
 
-use std::process::{Child, Command, ExitStatus};
+use std::process::{Child, Command};
 use std::time::Duration;
 
 use gateway_process::GatewayProcess;
@@ -34,15 +34,6 @@
     settings
 }
 
-async fn status_of(process: &mut GatewayProcess) -> ExitStatus {
-    loop {
-        if let Some(status) = process.try_end() {
-            return status;
-        }
-        sleep(Duration::from_millis(20)).await;
-    }
-}
-
 /// Starts a process whose address is held by another for a while; returns its log once it is ready.
 async fn start_beside<T>(ip: &str, holder: T) -> String {
     let deployment = Deployment::start(0, 1).await;
@@ -103,7 +94,7 @@
     let settings = settings_at(&ip, NO_STORE, &json!({ "grace_seconds": 0.5 }));
     let mut process = GatewayProcess::spawn(&format!("gateway-{ip}"), &settings);
     let begun = Instant::now();
-    assert_eq!(status_of(&mut process).await.code(), Some(7));
+    assert_eq!(process.ended().await.code(), Some(7));
     assert!(begun.elapsed() >= Duration::from_millis(2_500), "{:?}", begun.elapsed());
     assert!(process.log().contains("event=process_failed status=7"), "{}", process.log());
 }
@@ -116,7 +107,7 @@
     let mut process = GatewayProcess::spawn("waits", &settings_at(&ip, NO_STORE, &json!({})));
     wait_until("it waits", async || process.log().contains("event=address_taken")).await;
     process.signal("-TERM");
-    assert_eq!(status_of(&mut process).await.code(), Some(0));
+    assert_eq!(process.ended().await.code(), Some(0));
 }
 
 /// Guards against a start that gives up because of how the platform writes a setting.
@@ -156,7 +147,7 @@
         &format!("gateway-{ip}"),
         &settings_at(&ip, NO_STORE, &json!({ key: value })),
     );
-    assert_eq!(status_of(&mut process).await.code(), Some(2));
+    assert_eq!(process.ended().await.code(), Some(2));
     let log = process.log();
     let line = log.lines().find(|line| line.contains("event=process_failed status=2"));
     assert!(line.is_some_and(|line| line.contains(reason)), "{log}");
@@ -227,7 +218,7 @@
     }
     assert_eq!(process.log().len(), 512);
     process.signal("-TERM");
-    assert_eq!(status_of(&mut process).await.code(), Some(0));
+    assert_eq!(process.ended().await.code(), Some(0));
 }
 
 /// Guards against the status of a defect where standard output and error take no line.
