Reserve each turn of a prompt route by itself and settle it when it ends

Cause: the coordinator reserved up to four turns ahead, up to half of what the budget left, in one entry of the ledger, and only it knew which part was used. When it ended, all of the entry counted as spent, also the unused part of turns that had ended whole at other instances. A claim that was taken over started a turn in two such entries.

Ruled out: an allowance that others can reclaim. What was drawn from it is known to the dead process alone, unless each draw is written first, which is a reservation a turn.

Change: a turn has a reservation of its own, by its name, as on routes with a history. Its end is written as a settlement, which each write of the program's ledger includes meanwhile, so mostly the next reservation states it. The instance that served the turn and the coordinator both know the end until it is durable; where they are the same, the end of the answer waits for the write, up to 100 ms. A turn that does not fit because of turns that may have just ended asks once more after 150 ms, as their settlements may be on their way. A stop waits for its settlements.

--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{AllowanceDemand, TurnId};
+use super::TurnId;
 use crate::core::ids::Tokens;
 
 /// What a program has spent and what its running turns may still spend.
@@ -50,35 +50,6 @@
         ReserveReply::Reserved
     }
 
-    /// Extends a reservation to what an allowance demands and up to `ahead` tokens more, but by no
-    /// more than half of what the budget leaves: another instance may need the rest.
-    pub fn extend(
-        &mut self,
-        name: &TurnId,
-        demand: AllowanceDemand,
-        ahead: Tokens,
-        budget: Tokens,
-    ) -> ReserveReply {
-        let AllowanceDemand { min_tokens, nonrefundable_tokens } = demand;
-        let reserved = self.reserved(name);
-        if reserved >= min_tokens {
-            return ReserveReply::Reserved;
-        }
-        let committed = self.committed();
-        let available = budget.saturating_sub(committed - reserved);
-        if available < min_tokens {
-            let permanent = self.spent.saturating_add(nonrefundable_tokens) > budget;
-            return ReserveReply::Exhausted { committed, permanent };
-        }
-        self.reservations
-            .insert(name.clone(), min_tokens + ahead.min((available - min_tokens) / 2));
-        ReserveReply::Reserved
-    }
-
-    pub fn reserved(&self, name: &TurnId) -> Tokens {
-        self.reservations.get(name).copied().unwrap_or_default()
-    }
-
     /// Replaces a turn's reservation by what it used; false if there is none.
     pub fn settle(&mut self, turn: &TurnId, used: Tokens) -> bool {
         let reserved = self.reservations.remove(turn).is_some();
--- a/src/core/turns/mod.rs
+++ b/src/core/turns/mod.rs
@@ -1,12 +1,12 @@
 //! Turns of programs for the gateway: their stored records, token ledgers, cache and coordinators.
 
-mod allowance;
 mod branches;
 mod cache;
 mod chain;
 mod coordinator;
 mod ledger;
 mod record;
+mod settlements;
 mod writes;
 
 use std::time::Duration;
@@ -15,13 +15,13 @@
 
 use crate::core::ids::RequestId;
 
-pub use allowance::{AllowanceDemand, PREALLOCATED_TURNS, TokenAllowance};
 pub use branches::{BranchName, PrefixHolder, PrefixHolders};
 pub use cache::TurnCache;
 pub use chain::{ChainEntry, ChainLookup, LoadedTurns};
 pub use coordinator::{CoordinatorSpan, coordinator, coordinators, gains_programs};
 pub use ledger::{ProgramLedger, ReserveReply};
 pub use record::{RecordError, TurnRecord, split_value};
+pub use settlements::TurnSettlements;
 pub use writes::{RecordWrite, StoredRows, WriteLimits, WriteProgress, WriteStep};
 
 /// Chosen by the caller.
--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -254,7 +254,9 @@
         guard.release_connection(connection, &choice.address, status, info.keep_alive);
         if let Some(mut turn) = turn.filter(|_| status == StatusCode::OK) {
             turn.record_holder(call.head.branch.as_ref(), &choice);
-            if turn.is_persisted() && !turn.persist(&choice, events, call.deadline).await {
+            if !turn.is_persisted() {
+                turn.finish().await;
+            } else if !turn.persist(&choice, events, call.deadline).await {
                 return Err(CallFailure::AnswerBroken("turn_not_kept"));
             }
         }
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -243,7 +243,7 @@
         error: ClaimError,
     ) -> Refusal {
         match error {
-            ClaimError::Exhausted { committed } => {
+            ClaimError::Exhausted { committed, .. } => {
                 log::info!(
                     "event=budget_exhausted request={} program={program} budget={} \
                      committed={committed} most={}",
@@ -287,6 +287,11 @@
         self.scope == TurnScope::History
     }
 
+    /// Ends a turn whose history is not stored.
+    pub(super) async fn finish(self) {
+        self.reservation.finish().await;
+    }
+
     /// Returns false if the record may not be durable.
     pub(super) async fn persist(
         self,
--- a/src/gateway/committer.rs
+++ b/src/gateway/committer.rs
@@ -87,7 +87,8 @@
         self.batches.get()
     }
 
-    /// Commits a transaction in a batch. `max_delay` is how long it may wait for others to join.
+    /// Commits a transaction in a batch. `max_delay` is how long it may wait for others to join. It is
+    /// withdrawn if the future is dropped before it is sent.
     pub(crate) async fn commit(
         &self,
         transaction: RowTransaction,
@@ -137,7 +138,9 @@
                 },
                 Some(_) => {
                     let batch = self.take_batch();
-                    actix_rt::spawn(self.clone().send(batch, SendGuard::new(&self)));
+                    if !batch.is_empty() {
+                        actix_rt::spawn(self.clone().send(batch, SendGuard::new(&self)));
+                    }
                 }
             }
         }
@@ -153,7 +156,8 @@
         let urgent_only = self.store.is_slow() && queue.iter().any(|queued| queued.is_urgent);
         let mut batch = Vec::new();
         let mut remaining = Vec::new();
-        for queued in queue.drain(..) {
+        // The others were withdrawn.
+        for queued in queue.drain(..).filter(|queued| !queued.reply.is_closed()) {
             let transaction = &queued.transaction;
             let fits = rows + transaction.rows() <= MAX_TRANSACTION_ROWS
                 && bytes + transaction.bytes() <= MAX_TRANSACTION_BYTES
--- a/src/gateway/members/mod.rs
+++ b/src/gateway/members/mod.rs
@@ -16,11 +16,10 @@
 use crate::core::load::LoadMessage;
 use crate::core::members::{
     GossipMessage, MemberAction, MemberInfo, MemberLoad, MemberSettings, MemberState, MemberTable,
-    preferred_member,
 };
 use crate::core::repeats::LossMessage;
 use crate::core::timeline::CausalClock;
-use crate::core::turns::{CoordinatorSpan, ProgramName, coordinator, coordinators};
+use crate::core::turns::{CoordinatorSpan, coordinator, coordinators};
 use crate::node::peers::{decode_gossip, encode_gossip};
 
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
@@ -187,21 +186,6 @@
         (chosen.instance != me.instance).then(|| chosen.rpc_address.clone())
     }
 
-    pub(crate) fn coordinated_elsewhere<'a>(
-        &self,
-        programs: impl IntoIterator<Item = &'a ProgramName>,
-    ) -> Vec<ProgramName> {
-        let table = self.table.borrow();
-        let me = table.me();
-        let local = table.iter().filter(|member| is_ready(member) && member.zone == me.zone);
-        let span = self.span.get().instances();
-        let coordinators = coordinators(span, local.map(|member| &*member.instance));
-        let others = programs.into_iter().filter(|program| {
-            preferred_member(program, coordinators.iter().copied()) != Some(&*me.instance)
-        });
-        others.cloned().collect()
-    }
-
     /// The instances that coordinate the programs of this zone.
     pub(crate) fn coordinators(&self) -> BTreeSet<InstanceId> {
         let table = self.table.borrow();
@@ -212,10 +196,6 @@
         coordinators.into_iter().map(Into::into).collect()
     }
 
-    pub(crate) fn changes(&self) -> u64 {
-        self.table.borrow().changes()
-    }
-
     /// Includes this instance.
     pub(crate) fn alive_count(&self) -> usize {
         let table = self.table.borrow();
--- a/src/gateway/run.rs
+++ b/src/gateway/run.rs
@@ -272,19 +272,12 @@
     /// route changes that peers report.
     async fn run_maintenance(self: Rc<Self>) {
         let memory = ResidentWatch::new(self.settings.memory_bytes());
-        let mut seen_changes = self.members.changes();
         let mut seen_coordinators = self.members.coordinators();
         loop {
             self.update_readiness();
             self.pool.prune();
             self.losses.prune();
             self.log_memory_level(&memory);
-            let changes = self.members.changes();
-            if std::mem::replace(&mut seen_changes, changes) != changes || self.is_draining() {
-                self.turns.release_reassigned_allowances(|programs| {
-                    self.members.coordinated_elsewhere(programs)
-                });
-            }
             let coordinators = self.members.coordinators();
             if gains_programs(&self.settings.instance, &seen_coordinators, &coordinators) {
                 self.turns.record_moved_programs();
--- a/src/gateway/stop.rs
+++ b/src/gateway/stop.rs
@@ -21,7 +21,7 @@
 /// Idempotent requests count as late from this time before the address lists expire: few callers still
 /// come, and what they send may not end within the grace period.
 const LATE_REQUEST_MARGIN: Duration = Duration::from_millis(600);
-/// Time to give back tokens where calls took all of the grace period.
+/// Time to settle turns where calls took all of the grace period.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(100);
 /// Part of the grace period that is reserved for the exit itself; calls that are still open by
 /// then are cut off.
@@ -129,7 +129,7 @@
         let ended = self.open_calls.get() == 0;
         self.stop.enter(StopPhase::CutOff);
         let release_until = end.max(Instant::now() + RELEASE_TIMEOUT);
-        let last = join(self.turns.release_allowances(), self.connections_closed());
+        let last = join(self.turns.settled(), self.connections_closed());
         let _ = timeout_at(release_until, last).await;
         sleep(FLUSH_DELAY).await;
         let finished = self.log_lost_connections() && ended;
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -5,7 +5,7 @@
 
 use futures_util::future::try_join_all;
 use serde::{Deserialize, Serialize};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
 use super::{ChainError, ReserveError, TurnChain, TurnManager, TurnReservation};
 use crate::core::ids::Tokens;
@@ -15,6 +15,9 @@
 /// A claim starts over when a program of its chain expires meanwhile.
 pub(super) const MAX_CLAIM_ATTEMPTS: usize = 3;
 
+/// Turns that have just ended may still hold tokens. Covers the delay and the write of a settlement.
+pub(super) const SETTLEMENT_WAIT: Duration = Duration::from_millis(150);
+
 /// Request to run a turn. Field names are part of the protocol between instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct TurnClaim {
@@ -40,12 +43,11 @@
     pub(crate) reads_store: bool,
 }
 
-fn is_false(flag: &bool) -> bool {
+pub(super) fn is_false(flag: &bool) -> bool {
     !flag
 }
 
-/// Decides whether tokens are preallocated, and which instance releases a reservation whose write may
-/// still be committed.
+/// Decides which instance releases a reservation whose write may still be committed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ClaimSource {
     Coordinator,
@@ -76,6 +78,8 @@
     NotAdmitted,
     Exhausted {
         committed: Tokens,
+        /// The end of other turns does not help.
+        permanent: bool,
     },
     /// The chain exceeds the memory that is left for chains.
     MemoryExhausted,
@@ -99,14 +103,18 @@
         deadline: Instant,
         source: ClaimSource,
     ) -> Result<ClaimedTurn, ClaimError> {
-        if claim.scope == TurnScope::Tokens {
-            return self.claim_tokens(claim, deadline, source).await;
+        let is_coordinator = matches!(source, ClaimSource::Coordinator | ClaimSource::Peer);
+        if claim.only_known && is_coordinator && !self.is_known(claim, deadline).await {
+            return Err(ClaimError::NotAdmitted);
         }
         let mut reservation = self.reservation(&claim.program, &claim.turn);
+        reservation.scope = claim.scope;
         // If dropped unsettled, it releases what the coordinator may have reserved.
         reservation.settled = source != ClaimSource::Takeover;
+        let previous = claim.previous.as_ref().filter(|_| claim.scope == TurnScope::History);
+        let mut awaits_settlements = source != ClaimSource::Peer;
         for _ in 0..MAX_CLAIM_ATTEMPTS {
-            let chain = match &claim.previous {
+            let chain = match previous {
                 Some(previous) => self.chain(claim, previous, deadline).await,
                 None => Ok(TurnChain::default()),
             };
@@ -119,11 +127,18 @@
             {
                 Ok(had_ledger) => {
                     let had_ledger = Some(had_ledger);
-                    return Ok(ClaimedTurn { chain, holder: None, reservation, had_ledger });
+                    let holder = self.prefix_holder(claim);
+                    return Ok(ClaimedTurn { chain, holder, reservation, had_ledger });
                 }
                 Err(ReserveError::Expired) => {}
-                Err(ReserveError::Exhausted { committed }) => {
-                    return Err(ClaimError::Exhausted { committed });
+                Err(ReserveError::Exhausted { permanent: false, .. })
+                    if awaits_settlements && Instant::now() + SETTLEMENT_WAIT < deadline =>
+                {
+                    awaits_settlements = false;
+                    sleep(SETTLEMENT_WAIT).await;
+                }
+                Err(ReserveError::Exhausted { committed, permanent }) => {
+                    return Err(ClaimError::Exhausted { committed, permanent });
                 }
                 Err(ReserveError::Store(error)) => return Err(reservation.failure(error)),
             }
@@ -132,6 +147,14 @@
         Err(reservation.failure(StoreError::Unavailable))
     }
 
+    /// The engine that ran the branch's last turn, if the history is not stored.
+    fn prefix_holder(&self, claim: &TurnClaim) -> Option<PrefixHolder> {
+        match claim.scope {
+            TurnScope::History => None,
+            TurnScope::Tokens => self.holders.borrow().holder(&claim.program, claim.line.as_ref()),
+        }
+    }
+
     async fn reserve_with_origins(
         self: &Rc<Self>,
         claim: &TurnClaim,
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -7,9 +7,9 @@
 
 use actix_http::{Method, StatusCode};
 use bytes::Bytes;
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-use super::claim::{ClaimError, ClaimSource, ClaimedTurn, TurnClaim};
+use super::claim::{ClaimError, ClaimSource, ClaimedTurn, SETTLEMENT_WAIT, TurnClaim};
 use super::messages::{ClaimReply, ClaimRequest, PersistRequest, TurnEnd};
 use super::{ChainError, SETTLE_COMMIT_DELAY, TurnChain, TurnManager};
 use crate::core::turns::{ChainEntry, ProgramName, TurnId, TurnRecord, TurnScope};
@@ -27,6 +27,9 @@
 const MIN_PEER_TIMEOUT: Duration = Duration::from_millis(120);
 const MAX_PEER_TIMEOUT: Duration = Duration::from_millis(700);
 const PEER_TIMEOUT_FACTOR: f64 = 4.0;
+/// Time for a settlement beyond that of a call. No caller waits for it, and a slow store must not make
+/// the coordinator seem to have failed.
+const MAX_SETTLE_DELAY: Duration = Duration::from_millis(500);
 /// The mean covers about the last eight calls.
 const LATENCY_WEIGHT: f64 = 0.125;
 /// Bridges the time until membership detects that the coordinator has failed, about a second, in
@@ -78,6 +81,12 @@
     next.is_none()
 }
 
+/// Whether a reply refuses the turn for tokens that other turns hold, which may have just ended.
+fn may_settle(reply: &Bytes) -> bool {
+    let reply = unframe::<ClaimReply>(reply);
+    matches!(reply, Ok((ClaimReply::Exhausted { permanent: false, .. }, _)))
+}
+
 impl TurnManager {
     /// Claims a turn at its coordinator, or locally if the coordinator does not respond.
     pub(crate) async fn claim(
@@ -122,24 +131,38 @@
         let retained_until = Instant::now() + claim.retention;
         let request =
             ClaimRequest { claim: claim.clone(), knows_chain, limit_ms: remaining_ms(deadline) };
-        let source =
-            match self.call_peer(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await {
-                Ok((StatusCode::OK, body)) => {
-                    match self
-                        .accept_claim_reply(peer, claim, known, &body, deadline, retained_until)
-                        .await
-                    {
-                        Some(result) => return result,
-                        None => ClaimSource::Takeover,
-                    }
+        let mut reply = self.send_claim(peer, &request).await;
+        if matches!(&reply, Ok((StatusCode::OK, body)) if may_settle(body))
+            && Instant::now() + SETTLEMENT_WAIT < deadline
+        {
+            sleep(SETTLEMENT_WAIT).await;
+            reply = self.send_claim(peer, &request).await;
+        }
+        let source = match reply {
+            Ok((StatusCode::OK, body)) => {
+                match self
+                    .accept_claim_reply(peer, claim, known, &body, deadline, retained_until)
+                    .await
+                {
+                    Some(result) => return result,
+                    None => ClaimSource::Takeover,
                 }
-                Ok(_) | Err(PeerFailure::Unknown) => ClaimSource::Takeover,
-                Err(PeerFailure::NotSent) => ClaimSource::Proxy,
-            };
+            }
+            Ok(_) | Err(PeerFailure::Unknown) => ClaimSource::Takeover,
+            Err(PeerFailure::NotSent) => ClaimSource::Proxy,
+        };
         log::debug!("event=claim_taken_over turn={} peer={peer}", claim.turn);
         self.claim_locally(claim, deadline, source).await
     }
 
+    async fn send_claim(
+        &self,
+        peer: &str,
+        request: &ClaimRequest,
+    ) -> Result<(StatusCode, Bytes), PeerFailure> {
+        self.call_peer(peer, CLAIM_PATH, frame(request, &[]), Duration::ZERO).await
+    }
+
     /// `known` is the chain, unless the reply holds it. Returns `None` if the reply is malformed.
     async fn accept_claim_reply(
         self: &Rc<Self>,
@@ -158,8 +181,8 @@
                 return Some(Err(ClaimError::NoSuchTurn));
             }
             ClaimReply::NotAdmitted => return Some(Err(ClaimError::NotAdmitted)),
-            ClaimReply::Exhausted { committed } => {
-                return Some(Err(ClaimError::Exhausted { committed }));
+            ClaimReply::Exhausted { committed, permanent } => {
+                return Some(Err(ClaimError::Exhausted { committed, permanent }));
             }
         };
         // Decode everything before creating the reservation: after a malformed reply the claim is
@@ -258,8 +281,7 @@
 
     /// Returns false if the caller has to settle the turn itself.
     pub(super) async fn settle_via_peer(&self, peer: &str, end: &TurnEnd) -> bool {
-        let response =
-            self.call_peer(peer, SETTLE_PATH, frame(end, &[]), SETTLE_COMMIT_DELAY).await;
+        let response = self.call_peer(peer, SETTLE_PATH, frame(end, &[]), MAX_SETTLE_DELAY).await;
         matches!(response, Ok((StatusCode::OK, _)))
     }
 }
--- a/src/gateway/turns/messages.rs
+++ b/src/gateway/turns/messages.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::claim::TurnClaim;
+use super::claim::{TurnClaim, is_false};
 use crate::core::ids::Tokens;
 use crate::core::turns::{PrefixHolder, ProgramName, TurnId, TurnScope};
 use crate::core::workspaces::resolved_name;
@@ -39,6 +39,9 @@
     NotAdmitted,
     Exhausted {
         committed: Tokens,
+        /// The end of other turns does not help. Releases that do not say so wait for none.
+        #[serde(default, skip_serializing_if = "is_false")]
+        permanent: bool,
     },
 }
 
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -1,11 +1,11 @@
 //! Manages the turns of programs for the gateway: reads their chains, reserves tokens before a turn
 //! runs, and settles and stores it afterwards.
 
-mod allowances;
 mod chain;
 mod chain_memory;
 mod claim;
 mod coordinate;
+mod holders;
 mod known;
 mod messages;
 #[cfg(test)]
@@ -13,6 +13,7 @@
 mod reserve;
 mod rows;
 mod serve;
+mod settle;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,13 +22,13 @@
 
 use tokio::time::{Instant, sleep, timeout_at};
 
-use self::allowances::ProgramAllowances;
 use self::chain_memory::ChainMemory;
 use self::coordinate::CoordinatorHealth;
+use self::holders::HolderTable;
 use self::known::LedgerReads;
-use self::messages::TurnEnd;
 use self::reserve::PendingReservation;
 use self::rows::{WriteState, ledger_write, step_transaction};
+use self::settle::{SettlementCount, SettlementQueue};
 use super::committer::StoreCommitter;
 use super::http::ConnectionPool;
 use super::rows::{CommitReply, RowVersion};
@@ -63,6 +64,8 @@
 pub(crate) enum ReserveError {
     Exhausted {
         committed: Tokens,
+        /// The end of other turns does not help.
+        permanent: bool,
     },
     /// The program was removed from the store after its retention; cached rows are stale.
     Expired,
@@ -87,7 +90,9 @@
     pending: RefCell<HashMap<ProgramName, Vec<PendingReservation>>>,
     cache: RefCell<TurnCache>,
     chain_memory: ChainMemory,
-    allowances: RefCell<ProgramAllowances>,
+    settlements: RefCell<SettlementQueue>,
+    settling: SettlementCount,
+    holders: RefCell<HolderTable>,
     ledger_reads: RefCell<LedgerReads>,
     /// Maximum size of a row's value.
     row_bytes: usize,
@@ -160,31 +165,9 @@
     /// Releases the unused tokens of a turn without a record: it failed, or its history is not stored.
     fn drop(&mut self) {
         self.manager.reservations.set(self.manager.reservations.get() - 1);
-        if self.settled {
-            return;
+        if !self.settled {
+            self.spawn_settlement(SETTLE_COMMIT_DELAY);
         }
-        let manager = self.manager.clone();
-        let coordinator = self.coordinator.take();
-        let end = TurnEnd {
-            program: self.program.clone(),
-            turn: self.turn.clone(),
-            used: self.used,
-            scope: self.scope,
-            ran_at: self.ran_at.take(),
-        };
-        actix_rt::spawn(async move {
-            if let Some(peer) = coordinator
-                && manager.settle_via_peer(&peer, &end).await
-            {
-                return;
-            }
-            if end.scope == TurnScope::Tokens {
-                manager.end_turn(&end);
-                return;
-            }
-            let deadline = Instant::now() + BACKGROUND_SETTLE_TIMEOUT;
-            manager.settle(&end.program, &end.turn, end.used, deadline).await;
-        });
     }
 }
 
@@ -205,7 +188,9 @@
             pending: RefCell::default(),
             cache,
             chain_memory: ChainMemory::new(cache_bytes),
-            allowances: RefCell::default(),
+            settlements: RefCell::default(),
+            settling: SettlementCount::default(),
+            holders: RefCell::default(),
             ledger_reads: RefCell::default(),
             row_bytes,
             reservations: Cell::new(0),
@@ -221,8 +206,11 @@
         self.reservations.get()
     }
 
+    /// The newest known ledger, with all turns settled that are known to have ended.
     fn ledger(&self, program: &str) -> (RowVersion, ProgramLedger) {
-        self.cache.borrow().ledger(program).unwrap_or_default()
+        let (version, mut ledger) = self.cache.borrow().ledger(program).unwrap_or_default();
+        self.settlements.borrow().apply(program, &mut ledger);
+        (version, ledger)
     }
 
     /// Writes a ledger if the stored one still has `version`, and updates the cache.
@@ -240,6 +228,7 @@
                 if version == 0 {
                     self.cache.borrow_mut().remove(program);
                 }
+                self.settlements.borrow_mut().remove_written(program, &ledger);
                 self.record_ledger(program, written, ledger);
                 Ok(LedgerOutcome::Written)
             }
@@ -379,28 +368,6 @@
         true
     }
 
-    async fn settle(&self, program: &ProgramName, turn: &TurnId, used: Tokens, deadline: Instant) {
-        loop {
-            let (version, mut ledger) = self.ledger(program);
-            ledger.settle(turn, used);
-            match self.write_ledger(program, version, ledger, SETTLE_COMMIT_DELAY).await {
-                Ok(LedgerOutcome::Written) => return,
-                // An earlier attempt was committed and its reply lost.
-                Ok(_) if !self.ledger(program).1.is_reserved(turn) => return,
-                Ok(_) => {}
-                Err(error) => {
-                    if self.wait_before_retry(deadline).await {
-                        continue;
-                    }
-                    log::warn!(
-                        "event=settle_failed program={program} turn={turn} used={used} error=\"{error}\""
-                    );
-                    return;
-                }
-            }
-        }
-    }
-
     /// Waits for the retry delay and for the store to be reachable; false if the deadline is too close
     /// for another attempt.
     async fn wait_before_retry(&self, deadline: Instant) -> bool {
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -9,7 +9,7 @@
 use super::{
     LedgerOutcome, RESERVE_COMMIT_DELAY, RETRY_DELAY, ReserveError, TurnManager, TurnReservation,
 };
-use crate::core::turns::{ProgramLedger, ProgramName, ReserveReply, TurnScope};
+use crate::core::turns::{ProgramLedger, ProgramName, ReserveReply};
 use crate::node::platform::StoreError;
 
 struct ReservationOutcome {
@@ -27,7 +27,6 @@
     /// All rows of the program were read since its ledger last changed.
     is_loaded: bool,
     is_indeterminate: bool,
-    preallocates: bool,
     /// As of the last write.
     had_ledger: bool,
     reply: oneshot::Sender<ReservationOutcome>,
@@ -85,7 +84,6 @@
             deadline,
             is_loaded: false,
             is_indeterminate,
-            preallocates: matches!(source, ClaimSource::Coordinator | ClaimSource::Peer),
             had_ledger: false,
             reply,
         };
@@ -144,6 +142,7 @@
     ) -> Vec<PendingReservation> {
         let group = self.with_ledger(program, group).await;
         let (version, mut ledger) = self.ledger(program);
+        self.settlements.borrow().carry(program);
         let (mut granted, insufficient) = self.reserve_in_ledger(&mut ledger, group);
         let mut remaining = self.reload_program(program, insufficient).await;
         if granted.is_empty() {
@@ -154,9 +153,6 @@
             pending.had_ledger = version > 0 || number > 0;
         }
         let reply = self.write_ledger(program, version, ledger, RESERVE_COMMIT_DELAY).await;
-        if !matches!(reply, Ok(LedgerOutcome::Written)) {
-            granted.iter().for_each(|pending| self.undo_allowance_start(&pending.claim));
-        }
         match reply {
             Ok(LedgerOutcome::Written) => {
                 for pending in granted {
@@ -224,19 +220,15 @@
         let (mut granted, mut insufficient) = (Vec::new(), Vec::new());
         for pending in group {
             let claim = &pending.claim;
-            let reply = match claim.scope {
-                TurnScope::History => ledger.reserve(&claim.turn, claim.most, claim.budget),
-                TurnScope::Tokens => self.extend_allowance(ledger, claim, pending.preallocates),
-            };
-            match reply {
+            match ledger.reserve(&claim.turn, claim.most, claim.budget) {
                 ReserveReply::Reserved => {
-                    ledger.retain_until(self.retained_until(claim.ledger_retention()));
+                    ledger.retain_until(self.retained_until(claim.retention));
                     granted.push(pending);
                 }
                 ReserveReply::Exhausted { committed, permanent }
                     if pending.is_loaded || permanent =>
                 {
-                    pending.finish(Err(ReserveError::Exhausted { committed }));
+                    pending.finish(Err(ReserveError::Exhausted { committed, permanent }));
                 }
                 ReserveReply::Exhausted { .. } => insufficient.push(pending),
             }
--- a/src/gateway/turns/rows.rs
+++ b/src/gateway/turns/rows.rs
@@ -155,9 +155,6 @@
         if is_removed || (is_too_high && self.ledger(program).0 == expected) {
             self.cache.borrow_mut().remove(program);
         }
-        if is_removed {
-            self.allowances.borrow_mut().remove(program);
-        }
         let ledgers = rows.into_iter().filter(|row| &*row.key.key == LEDGER_KEY);
         self.cache_rows(program, ledgers.collect());
         is_removed
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -11,8 +11,8 @@
 use super::messages::{
     ChainTurn, ClaimReply, ClaimRequest, PersistRequest, TurnEnd, resolve_names,
 };
-use super::{BACKGROUND_SETTLE_TIMEOUT, CLAIM_PATH, SETTLE_PATH, TurnChain, TurnManager};
-use crate::core::turns::{PrefixHolder, TurnRecord, TurnScope};
+use super::{CLAIM_PATH, SETTLE_COMMIT_DELAY, SETTLE_PATH, TurnChain, TurnManager};
+use crate::core::turns::{PrefixHolder, TurnRecord};
 use crate::core::workspaces::resolved_name;
 use crate::util::framed::{frame, unframe};
 use crate::util::http_server::BodyHold;
@@ -58,7 +58,9 @@
             }
             Err(ClaimError::NoSuchTurn) => ClaimReply::NoSuchTurn,
             Err(ClaimError::NotAdmitted) => ClaimReply::NotAdmitted,
-            Err(ClaimError::Exhausted { committed }) => ClaimReply::Exhausted { committed },
+            Err(ClaimError::Exhausted { committed, permanent }) => {
+                ClaimReply::Exhausted { committed, permanent }
+            }
             Err(
                 ClaimError::MemoryExhausted | ClaimError::Store(_) | ClaimError::Indeterminate(_),
             ) => return None,
@@ -95,13 +97,10 @@
         if path == SETTLE_PATH {
             let Ok((mut request, _)) = unframe::<TurnEnd>(body) else { return malformed };
             resolve_names(&mut request.program, &mut request.turn);
-            if request.scope == TurnScope::Tokens {
-                self.end_turn(&request);
-                return (StatusCode::OK, Bytes::new());
-            }
-            let deadline = Instant::now() + BACKGROUND_SETTLE_TIMEOUT;
-            self.settle(&request.program, &request.turn, request.used, deadline).await;
-            return (StatusCode::OK, Bytes::new());
+            return match self.end_turn(&request, SETTLE_COMMIT_DELAY).await {
+                true => (StatusCode::OK, Bytes::new()),
+                false => unavailable,
+            };
         }
         let Ok((mut request, record)) = unframe::<PersistRequest>(body) else { return malformed };
         let Ok(mut record) = TurnRecord::decode(record) else { return malformed };
