Refuse late claims of turns that were taken over from their coordinator

Cause: an instance that gets no answer from a coordinator claims the turn itself. The first claim stays in the sockets of the coordinator, which reads it when it resumes, gives it a new deadline, and finds in the store's ledger that the turn is not reserved: it has ended and is settled. It reserves the turn again. The next write of the ledger settles it with the record once more, so it counts twice; without a record it counts with its maximum for good. A coordinator whose writes are not answered does the same with the writes that it repeats.

Ruled out: the claim's age alone. The coordinator may read it within its time, after the turn has ended; and the clock of a machine that was suspended stands still. A check that the turn has no record: turns without a history, and interrupted ones, have none.

Change: the write by which an instance takes a turn over, or gives it up afterwards, marks the turn in the ledger. A coordinator looks for the mark in the ledger on whose version its write is conditional: a ledger from before the takeover makes the write fail, one from after it has the mark. Claims say when they expire, by the store's clock, so that the marks can be dropped a minute later. A settlement after a takeover is written even if the turn is not reserved, as its coordinator may still do so.

--- a/src/core/turns/ledger.rs
+++ b/src/core/turns/ledger.rs
@@ -22,6 +22,10 @@
     /// End of the program's retention, in milliseconds of the store's clock.
     #[serde(rename = "k", default)]
     retained_until: u64,
+    /// Turns that an instance claimed without their coordinator, which may still get the claim. Until
+    /// then, in milliseconds of the store's clock, it must not reserve them again.
+    #[serde(rename = "x", default, skip_serializing_if = "BTreeMap::is_empty")]
+    taken_over: BTreeMap<TurnId, u64>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -63,6 +67,21 @@
         self.reservations.keys()
     }
 
+    /// Records that claims of the turn by its coordinator are void.
+    pub fn take_over(&mut self, turn: &TurnId, until_millis: u64) {
+        let until = self.taken_over.entry(turn.clone()).or_default();
+        *until = (*until).max(until_millis);
+    }
+
+    pub fn is_taken_over(&self, turn: &TurnId) -> bool {
+        self.taken_over.contains_key(turn)
+    }
+
+    /// Drops the turns whose claims have expired.
+    pub fn remove_expired(&mut self, now_millis: u64) {
+        self.taken_over.retain(|_, until| now_millis <= *until);
+    }
+
     /// Extends the retention; it never gets shorter. In milliseconds of the store's clock.
     pub fn retain_until(&mut self, millis: u64) {
         self.retained_until = self.retained_until.max(millis);
--- a/src/core/turns/mod.rs
+++ b/src/core/turns/mod.rs
@@ -21,7 +21,7 @@
 pub use coordinator::{CoordinatorSpan, coordinator, coordinators, gains_programs};
 pub use ledger::{ProgramLedger, ReserveReply};
 pub use record::{RecordError, TurnRecord, split_value};
-pub use settlements::TurnSettlements;
+pub use settlements::{TurnSettlement, TurnSettlements};
 pub use writes::{RecordWrite, StoredRows, WriteLimits, WriteProgress, WriteStep};
 
 /// Chosen by the caller.
--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -170,6 +170,7 @@
             retention: retention + call.deadline.saturating_duration_since(Instant::now()),
             scope,
             line: call.head.branch.clone(),
+            expires_ms: None,
             only_known: *verdict != TurnVerdict::Admitted,
             reads_store: matches!(verdict, TurnVerdict::ByLoad(..)),
         }
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -15,6 +15,8 @@
 /// A claim starts over when a program of its chain expires meanwhile.
 pub(super) const MAX_CLAIM_ATTEMPTS: usize = 3;
 
+/// Covers differences between the clocks of instances. A claim that is still older has expired for them all.
+const TAKEOVER_RETENTION: Duration = Duration::from_secs(60);
 /// Turns that have just ended may still hold tokens. Covers the delay and the write of a settlement.
 pub(super) const SETTLEMENT_WAIT: Duration = Duration::from_millis(150);
 
@@ -38,6 +40,11 @@
     /// Rejects the claim if the coordinator knows no earlier turn of the program.
     #[serde(default)]
     pub(crate) only_known: bool,
+    /// When the claim becomes void, in milliseconds of the store's clock; a coordinator that was
+    /// suspended may get it later. Absent if the sender does not know the clock, or is of a release that
+    /// does not say.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(crate) expires_ms: Option<u64>,
     /// Lets the coordinator look for such a turn in the store too; set where load is shared.
     #[serde(default, skip_serializing_if = "is_false")]
     pub(crate) reads_store: bool,
@@ -111,6 +118,9 @@
         reservation.scope = claim.scope;
         // If dropped unsettled, it releases what the coordinator may have reserved.
         reservation.settled = source != ClaimSource::Takeover;
+        if source == ClaimSource::Takeover {
+            reservation.taken_over_until = Some(self.taken_over_until(claim));
+        }
         let previous = claim.previous.as_ref().filter(|_| claim.scope == TurnScope::History);
         let mut awaits_settlements = source != ClaimSource::Peer;
         for _ in 0..MAX_CLAIM_ATTEMPTS {
@@ -140,6 +150,7 @@
                 Err(ReserveError::Exhausted { committed, permanent }) => {
                     return Err(ClaimError::Exhausted { committed, permanent });
                 }
+                Err(ReserveError::Void) => return Err(ClaimError::Store(StoreError::Unavailable)),
                 Err(ReserveError::Store(error)) => return Err(reservation.failure(error)),
             }
         }
@@ -147,6 +158,18 @@
         Err(reservation.failure(StoreError::Unavailable))
     }
 
+    /// Whether the turn's claim by its coordinator is void, as its caller no longer waits for it.
+    pub(super) fn is_expired(&self, claim: &TurnClaim) -> bool {
+        let now = self.store.clock_millis();
+        now.zip(claim.expires_ms).is_some_and(|(now, expires)| expires < now)
+    }
+
+    /// Until when the ledger has to say that a turn was taken over, in milliseconds of the store's clock.
+    pub(super) fn taken_over_until(&self, claim: &TurnClaim) -> u64 {
+        let now = self.store.now_millis();
+        claim.expires_ms.unwrap_or(now).max(now) + TAKEOVER_RETENTION.as_millis() as u64
+    }
+
     /// The engine that ran the branch's last turn, if the history is not stored.
     fn prefix_holder(&self, claim: &TurnClaim) -> Option<PrefixHolder> {
         match claim.scope {
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -92,9 +92,10 @@
     pub(crate) async fn claim(
         self: &Rc<Self>,
         coordinator: TurnCoordinator,
-        claim: TurnClaim,
+        mut claim: TurnClaim,
         deadline: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
+        claim.expires_ms = self.store.clock_millis().map(|now| now + remaining_ms(deadline));
         let peer = match coordinator {
             TurnCoordinator::Local => {
                 return self.claim_locally(&claim, deadline, ClaimSource::Coordinator).await;
--- a/src/gateway/turns/mod.rs
+++ b/src/gateway/turns/mod.rs
@@ -69,6 +69,8 @@
     },
     /// The program was removed from the store after its retention; cached rows are stale.
     Expired,
+    /// The peer that sent the claim has taken it over, or no longer waits for it.
+    Void,
     Store(StoreError),
 }
 
@@ -110,6 +112,8 @@
     ran_at: Option<PrefixHolder>,
     /// The coordinator holds the program in the store until then at least.
     retained_until: Option<Instant>,
+    /// The coordinator may still get the claim, and must not reserve the turn until then.
+    taken_over_until: Option<u64>,
     /// Address of the peer that made the reservation for this instance.
     coordinator: Option<Box<str>>,
 }
@@ -308,6 +312,7 @@
             scope: TurnScope::History,
             ran_at: None,
             retained_until: None,
+            taken_over_until: None,
             coordinator: None,
         }
     }
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -21,6 +21,7 @@
 
 pub(super) struct PendingReservation {
     claim: TurnClaim,
+    source: ClaimSource,
     /// Turns of the program are part of the claim's chain.
     is_continued: bool,
     deadline: Instant,
@@ -80,6 +81,7 @@
         let is_indeterminate = !reservation.settled;
         let pending = PendingReservation {
             claim: claim.clone(),
+            source,
             is_continued,
             deadline,
             is_loaded: false,
@@ -218,8 +220,22 @@
         group: Vec<PendingReservation>,
     ) -> (Vec<PendingReservation>, Vec<PendingReservation>) {
         let (mut granted, mut insufficient) = (Vec::new(), Vec::new());
+        ledger.remove_expired(self.store.now_millis());
         for pending in group {
             let claim = &pending.claim;
+            match pending.source {
+                // Looked at with each write: if the turn was taken over since, the ledger has another
+                // version than the one that this is conditional on.
+                ClaimSource::Peer if self.is_void(claim, ledger) => {
+                    log::info!("event=claim_void turn={} program={}", claim.turn, claim.program);
+                    pending.finish(Err(ReserveError::Void));
+                    continue;
+                }
+                ClaimSource::Takeover => {
+                    ledger.take_over(&claim.turn, self.taken_over_until(claim));
+                }
+                ClaimSource::Peer | ClaimSource::Coordinator | ClaimSource::Proxy => {}
+            }
             match ledger.reserve(&claim.turn, claim.most, claim.budget) {
                 ReserveReply::Reserved => {
                     ledger.retain_until(self.retained_until(claim.retention));
@@ -236,6 +252,10 @@
         (granted, insufficient)
     }
 
+    fn is_void(&self, claim: &TurnClaim, ledger: &ProgramLedger) -> bool {
+        ledger.is_taken_over(&claim.turn) || self.is_expired(claim)
+    }
+
     /// Reloads the program for reservations that do not fit the cached ledger: turns of other
     /// instances may have ended since.
     async fn reload_program(
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -47,6 +47,10 @@
             *previous = resolved_name(previous, &claim.turn);
         }
         let claim = &request.claim;
+        if self.is_expired(claim) {
+            log::info!("event=claim_expired turn={} program={}", claim.turn, claim.program);
+            return None;
+        }
         let deadline = Instant::now() + Duration::from_millis(request.limit_ms);
         let reply = match self.claim_locally(claim, deadline, ClaimSource::Peer).await {
             Ok(claimed) => {
@@ -97,7 +101,7 @@
         if path == SETTLE_PATH {
             let Ok((mut request, _)) = unframe::<TurnEnd>(body) else { return malformed };
             resolve_names(&mut request.program, &mut request.turn);
-            return match self.end_turn(&request, SETTLE_COMMIT_DELAY).await {
+            return match self.end_turn(&request, None, SETTLE_COMMIT_DELAY).await {
                 true => (StatusCode::OK, Bytes::new()),
                 false => unavailable,
             };
--- a/src/gateway/turns/settle.rs
+++ b/src/gateway/turns/settle.rs
@@ -14,8 +14,7 @@
     BACKGROUND_SETTLE_TIMEOUT, LedgerOutcome, RETRY_DELAY, SETTLE_COMMIT_DELAY, TurnManager,
     TurnReservation,
 };
-use crate::core::ids::Tokens;
-use crate::core::turns::{ProgramLedger, ProgramName, TurnId, TurnSettlements};
+use crate::core::turns::{ProgramLedger, ProgramName, TurnId, TurnSettlement, TurnSettlements};
 
 /// Bounds how long the end of an answer waits for the write of the settlement.
 const MAX_END_DELAY: Duration = Duration::from_millis(100);
@@ -81,10 +80,10 @@
         manager: &'a TurnManager,
         program: &'a ProgramName,
         turn: &'a TurnId,
-        used: Tokens,
+        settlement: TurnSettlement,
     ) -> Self {
         let mut queue = manager.settlements.borrow_mut();
-        queue.turns.insert(program, turn, used);
+        queue.turns.insert(program, turn, settlement);
         let carried = queue.carried.entry(program.clone()).or_default().clone();
         Self { manager, program, turn, carried }
     }
@@ -129,6 +128,7 @@
             scope: self.scope,
             ran_at: self.ran_at.take(),
         };
+        let taken_over_until = self.taken_over_until;
         let running = RunningSettlement::new(&manager);
         actix_rt::spawn(async move {
             let _running = running;
@@ -137,20 +137,26 @@
             {
                 return;
             }
-            manager.end_turn(&end, max_delay).await;
+            manager.end_turn(&end, taken_over_until, max_delay).await;
         })
     }
 }
 
 impl TurnManager {
     /// Settles a turn; false if that is not durable.
-    pub(super) async fn end_turn(&self, end: &TurnEnd, max_delay: Duration) -> bool {
+    pub(super) async fn end_turn(
+        &self,
+        end: &TurnEnd,
+        taken_over_until: Option<u64>,
+        max_delay: Duration,
+    ) -> bool {
         let TurnEnd { program, turn, used, ran_at, .. } = end;
         if let Some(holder) = ran_at {
             self.holders.borrow_mut().record(program, holder.clone());
         }
         let deadline = Instant::now() + BACKGROUND_SETTLE_TIMEOUT;
-        self.settle(program, turn, *used, max_delay, deadline).await
+        let settlement = TurnSettlement { used: *used, taken_over_until };
+        self.settle(program, turn, settlement, max_delay, deadline).await
     }
 
     /// Replaces a turn's reservation by what it used. `max_delay` is how long the write may wait for
@@ -159,11 +165,12 @@
         &self,
         program: &ProgramName,
         turn: &TurnId,
-        used: Tokens,
+        settlement: TurnSettlement,
         max_delay: Duration,
         deadline: Instant,
     ) -> bool {
-        let queued = QueuedSettlement::new(self, program, turn, used);
+        let TurnSettlement { used, taken_over_until } = settlement;
+        let queued = QueuedSettlement::new(self, program, turn, settlement);
         while !queued.is_written() {
             let (version, ledger) = self.ledger(program);
             let outcome = tokio::select! {
@@ -175,8 +182,13 @@
             };
             match outcome {
                 Ok(LedgerOutcome::Written | LedgerOutcome::Removed) => return true,
-                // The ledger has changed, so a write in flight can no longer reserve the turn either.
-                Ok(LedgerOutcome::Conflict) if !self.is_reserved(program, turn) => return true,
+                // The ledger has changed, so a write in flight can no longer reserve the turn either. Its
+                // coordinator may write anew, unless the ledger says that the turn was taken over.
+                Ok(LedgerOutcome::Conflict)
+                    if taken_over_until.is_none() && !self.is_reserved(program, turn) =>
+                {
+                    return true;
+                }
                 Ok(LedgerOutcome::Conflict) => {}
                 Err(error) => {
                     if self.wait_before_retry(deadline).await {
