Do not end a stream without a length as whole before its first event

The same cause on related paths: an answer without a length ends with its connection, also if its engine crashes, and three ways to tell were missing. A stream that ended before its first event, or after comments alone, was passed on as whole (502, or an answer cut off, now; a resumable one is resumed). A media type that is not in small letters hid an event stream, so that it could end anywhere.

What cannot be told: a crash between two events of a stream without a length.

--- a/src/gateway/call/relay.rs
+++ b/src/gateway/call/relay.rs
@@ -23,6 +23,8 @@
 /// Shorter streams say little about the latency of an engine.
 const MIN_LATENCY_EVENTS: u64 = 4;
 
+const EVENT_STREAM: &str = "text/event-stream";
+
 enum RelayError {
     CallerLeft,
     /// There is no memory for what has to be kept of the response.
@@ -147,8 +149,12 @@
         let is_parsed = answer.is_event_stream() || is_turn(answer, turn.as_ref());
         loop {
             let Some(chunk) = answer.next_chunk().await.map_err(RelayError::Broken)? else {
-                let ended = state.is_complete();
-                return if ended { Ok(()) } else { Err(RelayError::Broken(AnswerError::Ended)) };
+                let has_ended = state.is_complete() && !is_cut_empty(answer, &state.events);
+                return if has_ended {
+                    Ok(())
+                } else {
+                    Err(RelayError::Broken(AnswerError::Ended))
+                };
             };
             answer.guard.record_byte();
             if state.first_byte_at.is_none() {
@@ -309,6 +315,12 @@
     CallFailure::AnswerBroken("unwritable_head")
 }
 
+/// Whether a stream without a length ended with its connection before any event: an engine that crashed
+/// ends it so too.
+fn is_cut_empty(answer: &UpstreamAnswer, events: &EventParser) -> bool {
+    events.events() == 0 && answer.is_event_stream() && answer.connection.ended_by_close()
+}
+
 fn is_turn(answer: &UpstreamAnswer, turn: Option<&ActiveTurn>) -> bool {
     turn.is_some() && answer.head.status == StatusCode::OK
 }
@@ -316,7 +328,8 @@
 impl UpstreamAnswer {
     fn is_event_stream(&self) -> bool {
         let kind = self.head.headers.get(CONTENT_TYPE).and_then(|kind| kind.to_str().ok());
-        let is_events = kind.is_some_and(|kind| kind.starts_with("text/event-stream"));
+        let essence = kind.and_then(|kind| kind.split(';').next()).map(str::trim);
+        let is_events = essence.is_some_and(|kind| kind.eq_ignore_ascii_case(EVENT_STREAM));
         self.head.status == StatusCode::OK && is_events
     }
 
--- a/tests/platform_standin/engine/mod.rs
+++ b/tests/platform_standin/engine/mod.rs
@@ -53,6 +53,8 @@
     Large(usize),
     /// Interrupts an event stream after this text.
     CutText(&'static str),
+    /// Sends this text as a body of this media type that ends with the connection.
+    Unframed(&'static str, &'static str),
     /// Sends these bytes in place of an answer and closes the connection.
     CutRaw(String),
     /// Sends bytes that are no complete response, without end.
@@ -298,6 +300,11 @@
                     Step::Close,
                 ]
             }
+            Some(EngineAct::Unframed(kind, text)) => {
+                let kind = format!("content-type: {kind}\r\n");
+                let bytes = format!("HTTP/1.1 200 OK\r\n{head}{kind}\r\n{text}");
+                vec![Step::Send(bytes.into()), Step::Close]
+            }
             Some(EngineAct::Slow(pause)) => vec![Step::Pause(pause), answer(200, &head, b"late")],
             Some(EngineAct::Fail(status)) => vec![answer(status, &head, b"failed")],
             Some(EngineAct::Paced(pause)) => paced(&head, pause),
