Let settlements join the writes of reservations, and read a ledger once for a refusal

Change: a settlement that two instances know waits for 150 ms, in which a reservation of any program takes it along; after a conflict it waits no longer. A refusal for tokens that may be settled soon is given from the known ledger first, and the ledger is read when the instance asks again, after 250 ms. Routes with a history ask again too. Coordinators that failed lately get no settlements, and a stopping coordinator waits for those that it was given.

--- a/src/gateway/call/turn.rs
+++ b/src/gateway/call/turn.rs
@@ -171,6 +171,7 @@
             scope,
             line: call.head.branch.clone(),
             expires_ms: None,
+            asks_again: false,
             only_known: *verdict != TurnVerdict::Admitted,
             reads_store: matches!(verdict, TurnVerdict::ByLoad(..)),
         }
--- a/src/gateway/turns/claim.rs
+++ b/src/gateway/turns/claim.rs
@@ -18,7 +18,7 @@
 /// Covers differences between the clocks of instances. A claim that is still older has expired for them all.
 const TAKEOVER_RETENTION: Duration = Duration::from_secs(60);
 /// Turns that have just ended may still hold tokens. Covers the delay and the write of a settlement.
-pub(super) const SETTLEMENT_WAIT: Duration = Duration::from_millis(150);
+pub(super) const SETTLEMENT_WAIT: Duration = Duration::from_millis(250);
 
 /// Request to run a turn. Field names are part of the protocol between instances.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -45,6 +45,9 @@
     /// does not say.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(crate) expires_ms: Option<u64>,
+    /// The sender asks again if the known ledger does not cover the turn, so it need not be read yet.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub(crate) asks_again: bool,
     /// Lets the coordinator look for such a turn in the store too; set where load is shared.
     #[serde(default, skip_serializing_if = "is_false")]
     pub(crate) reads_store: bool,
@@ -106,12 +109,12 @@
 impl TurnManager {
     pub(super) async fn claim_locally(
         self: &Rc<Self>,
-        claim: &TurnClaim,
+        mut claim: TurnClaim,
         deadline: Instant,
         source: ClaimSource,
     ) -> Result<ClaimedTurn, ClaimError> {
         let is_coordinator = matches!(source, ClaimSource::Coordinator | ClaimSource::Peer);
-        if claim.only_known && is_coordinator && !self.is_known(claim, deadline).await {
+        if claim.only_known && is_coordinator && !self.is_known(&claim, deadline).await {
             return Err(ClaimError::NotAdmitted);
         }
         let mut reservation = self.reservation(&claim.program, &claim.turn);
@@ -119,13 +122,14 @@
         // If dropped unsettled, it releases what the coordinator may have reserved.
         reservation.settled = source != ClaimSource::Takeover;
         if source == ClaimSource::Takeover {
-            reservation.taken_over_until = Some(self.taken_over_until(claim));
+            reservation.taken_over_until = Some(self.taken_over_until(&claim));
         }
-        let previous = claim.previous.as_ref().filter(|_| claim.scope == TurnScope::History);
-        let mut awaits_settlements = source != ClaimSource::Peer;
+        // A peer asks again itself.
+        let mut asks_again = source != ClaimSource::Peer;
+        let previous = claim.previous.clone().filter(|_| claim.scope == TurnScope::History);
         for _ in 0..MAX_CLAIM_ATTEMPTS {
-            let chain = match previous {
-                Some(previous) => self.chain(claim, previous, deadline).await,
+            let chain = match &previous {
+                Some(previous) => self.chain(&claim, previous, deadline).await,
                 None => Ok(TurnChain::default()),
             };
             let chain = chain.map_err(|error| match error {
@@ -133,18 +137,20 @@
                 ChainError::MemoryExhausted => ClaimError::MemoryExhausted,
                 ChainError::Store(error) => reservation.failure(error),
             })?;
-            match self.reserve_with_origins(claim, &chain, deadline, source, &mut reservation).await
+            match self
+                .reserve_with_origins(&claim, &chain, deadline, source, &mut reservation)
+                .await
             {
                 Ok(had_ledger) => {
                     let had_ledger = Some(had_ledger);
-                    let holder = self.prefix_holder(claim);
+                    let holder = self.prefix_holder(&claim);
                     return Ok(ClaimedTurn { chain, holder, reservation, had_ledger });
                 }
                 Err(ReserveError::Expired) => {}
                 Err(ReserveError::Exhausted { permanent: false, .. })
-                    if awaits_settlements && Instant::now() + SETTLEMENT_WAIT < deadline =>
+                    if asks_again && Instant::now() + SETTLEMENT_WAIT < deadline =>
                 {
-                    awaits_settlements = false;
+                    (asks_again, claim.asks_again) = (false, false);
                     sleep(SETTLEMENT_WAIT).await;
                 }
                 Err(ReserveError::Exhausted { committed, permanent }) => {
--- a/src/gateway/turns/coordinate.rs
+++ b/src/gateway/turns/coordinate.rs
@@ -29,7 +29,7 @@
 const PEER_TIMEOUT_FACTOR: f64 = 4.0;
 /// Time for a settlement beyond that of a call. No caller waits for it, and a slow store must not make
 /// the coordinator seem to have failed.
-const MAX_SETTLE_DELAY: Duration = Duration::from_millis(500);
+const MAX_SETTLE_DELAY: Duration = Duration::from_millis(300);
 /// The mean covers about the last eight calls.
 const LATENCY_WEIGHT: f64 = 0.125;
 /// Bridges the time until membership detects that the coordinator has failed, about a second, in
@@ -95,18 +95,22 @@
         mut claim: TurnClaim,
         deadline: Instant,
     ) -> Result<ClaimedTurn, ClaimError> {
+        // With a history, what turns used is durable before their answers end, and the ledger known to the
+        // coordinator often lacks it.
+        claim.asks_again =
+            claim.scope == TurnScope::Tokens && Instant::now() + SETTLEMENT_WAIT < deadline;
         claim.expires_ms = self.store.clock_millis().map(|now| now + remaining_ms(deadline));
         let peer = match coordinator {
             TurnCoordinator::Local => {
-                return self.claim_locally(&claim, deadline, ClaimSource::Coordinator).await;
+                return self.claim_locally(claim, deadline, ClaimSource::Coordinator).await;
             }
             TurnCoordinator::Unassigned => {
-                return self.claim_locally(&claim, deadline, ClaimSource::Proxy).await;
+                return self.claim_locally(claim, deadline, ClaimSource::Proxy).await;
             }
             TurnCoordinator::Peer(peer) => peer,
         };
         if self.coordinators.borrow().failed.contains(&peer) {
-            return self.claim_locally(&claim, deadline, ClaimSource::Proxy).await;
+            return self.claim_locally(claim, deadline, ClaimSource::Proxy).await;
         }
         // Continues if the caller is dropped; the granted reservation is then released.
         let manager = self.clone();
@@ -130,16 +134,9 @@
         let knows_chain = known.is_some();
         // The coordinator's retention is counted from a later time.
         let retained_until = Instant::now() + claim.retention;
-        let request =
+        let mut request =
             ClaimRequest { claim: claim.clone(), knows_chain, limit_ms: remaining_ms(deadline) };
-        let mut reply = self.send_claim(peer, &request).await;
-        if matches!(&reply, Ok((StatusCode::OK, body)) if may_settle(body))
-            && Instant::now() + SETTLEMENT_WAIT < deadline
-        {
-            sleep(SETTLEMENT_WAIT).await;
-            reply = self.send_claim(peer, &request).await;
-        }
-        let source = match reply {
+        let source = match self.send_claim(peer, &mut request, deadline).await {
             Ok((StatusCode::OK, body)) => {
                 match self
                     .accept_claim_reply(peer, claim, known, &body, deadline, retained_until)
@@ -153,15 +150,24 @@
             Err(PeerFailure::NotSent) => ClaimSource::Proxy,
         };
         log::debug!("event=claim_taken_over turn={} peer={peer}", claim.turn);
-        self.claim_locally(claim, deadline, source).await
+        self.claim_locally(request.claim, deadline, source).await
     }
 
+    /// Sends a claim to a coordinator, and once more if turns that have just ended may hold the tokens.
     async fn send_claim(
         &self,
         peer: &str,
-        request: &ClaimRequest,
+        request: &mut ClaimRequest,
+        deadline: Instant,
     ) -> Result<(StatusCode, Bytes), PeerFailure> {
-        self.call_peer(peer, CLAIM_PATH, frame(request, &[]), Duration::ZERO).await
+        let reply = self.call_peer(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await?;
+        let has_time = Instant::now() + SETTLEMENT_WAIT < deadline;
+        if !has_time || reply.0 != StatusCode::OK || !may_settle(&reply.1) {
+            return Ok(reply);
+        }
+        sleep(SETTLEMENT_WAIT).await;
+        request.claim.asks_again = false;
+        self.call_peer(peer, CLAIM_PATH, frame(&request, &[]), Duration::ZERO).await
     }
 
     /// `known` is the chain, unless the reply holds it. Returns `None` if the reply is malformed.
@@ -282,6 +288,9 @@
 
     /// Returns false if the caller has to settle the turn itself.
     pub(super) async fn settle_via_peer(&self, peer: &str, end: &TurnEnd) -> bool {
+        if self.coordinators.borrow().failed.contains(peer) {
+            return false;
+        }
         let response = self.call_peer(peer, SETTLE_PATH, frame(end, &[]), MAX_SETTLE_DELAY).await;
         matches!(response, Ok((StatusCode::OK, _)))
     }
--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -242,7 +242,7 @@
                     granted.push(pending);
                 }
                 ReserveReply::Exhausted { committed, permanent }
-                    if pending.is_loaded || permanent =>
+                    if pending.is_loaded || permanent || claim.asks_again =>
                 {
                     pending.finish(Err(ReserveError::Exhausted { committed, permanent }));
                 }
--- a/src/gateway/turns/serve.rs
+++ b/src/gateway/turns/serve.rs
@@ -11,7 +11,8 @@
 use super::messages::{
     ChainTurn, ClaimReply, ClaimRequest, PersistRequest, TurnEnd, resolve_names,
 };
-use super::{CLAIM_PATH, SETTLE_COMMIT_DELAY, SETTLE_PATH, TurnChain, TurnManager};
+use super::settle::SHARED_SETTLE_DELAY;
+use super::{CLAIM_PATH, SETTLE_PATH, TurnChain, TurnManager};
 use crate::core::turns::{PrefixHolder, TurnRecord};
 use crate::core::workspaces::resolved_name;
 use crate::util::framed::{frame, unframe};
@@ -52,7 +53,7 @@
             return None;
         }
         let deadline = Instant::now() + Duration::from_millis(request.limit_ms);
-        let reply = match self.claim_locally(claim, deadline, ClaimSource::Peer).await {
+        let reply = match self.claim_locally(request.claim, deadline, ClaimSource::Peer).await {
             Ok(claimed) => {
                 let ClaimedTurn { chain, holder, reservation, had_ledger } = claimed;
                 reservation.transfer();
@@ -101,7 +102,7 @@
         if path == SETTLE_PATH {
             let Ok((mut request, _)) = unframe::<TurnEnd>(body) else { return malformed };
             resolve_names(&mut request.program, &mut request.turn);
-            return match self.end_turn(&request, None, SETTLE_COMMIT_DELAY).await {
+            return match self.end_turn(&request, None, SHARED_SETTLE_DELAY).await {
                 true => (StatusCode::OK, Bytes::new()),
                 false => unavailable,
             };
--- a/src/gateway/turns/settle.rs
+++ b/src/gateway/turns/settle.rs
@@ -16,6 +16,9 @@
 };
 use crate::core::turns::{ProgramLedger, ProgramName, TurnId, TurnSettlement, TurnSettlements};
 
+/// Of a settlement that another instance would write too if this one ended. Lets most join the write of
+/// a reservation.
+pub(super) const SHARED_SETTLE_DELAY: Duration = Duration::from_millis(150);
 /// Bounds how long the end of an answer waits for the write of the settlement.
 const MAX_END_DELAY: Duration = Duration::from_millis(100);
 
@@ -145,11 +148,12 @@
 impl TurnManager {
     /// Settles a turn; false if that is not durable.
     pub(super) async fn end_turn(
-        &self,
+        self: &Rc<Self>,
         end: &TurnEnd,
         taken_over_until: Option<u64>,
         max_delay: Duration,
     ) -> bool {
+        let _running = RunningSettlement::new(self);
         let TurnEnd { program, turn, used, ran_at, .. } = end;
         if let Some(holder) = ran_at {
             self.holders.borrow_mut().record(program, holder.clone());
@@ -166,7 +170,7 @@
         program: &ProgramName,
         turn: &TurnId,
         settlement: TurnSettlement,
-        max_delay: Duration,
+        mut max_delay: Duration,
         deadline: Instant,
     ) -> bool {
         let TurnSettlement { used, taken_over_until } = settlement;
@@ -189,7 +193,8 @@
                 {
                     return true;
                 }
-                Ok(LedgerOutcome::Conflict) => {}
+                // Another instance reserves for the program, to which these tokens may be missing.
+                Ok(LedgerOutcome::Conflict) => max_delay = Duration::ZERO,
                 Err(error) => {
                     if self.wait_before_retry(deadline).await {
                         continue;
