Mark a takeover also where the coordinator's reservation has come first

An instance that takes a turn over and finds it reserved by the coordinator ran it without a mark. If the answer to the coordinator's write was lost, the coordinator repeats the write; should the turn be settled by then, it would reserve it once more. Now the takeover writes its mark before the turn runs.

Not seen: the store client sends a write without an answer twice, and the second try finds the reservation while the turn still runs.

--- a/src/gateway/turns/reserve.rs
+++ b/src/gateway/turns/reserve.rs
@@ -286,7 +286,10 @@
         let (_, ledger) = self.ledger(program);
         let mut remaining = Vec::new();
         for mut pending in group {
-            if ledger.is_reserved(&pending.claim.turn) {
+            let turn = &pending.claim.turn;
+            // The coordinator may repeat its write, unless the ledger says that the turn was taken over.
+            let is_marked = pending.source != ClaimSource::Takeover || ledger.is_taken_over(turn);
+            if ledger.is_reserved(turn) && is_marked {
                 let had_ledger = pending.had_ledger;
                 pending.finish(Ok(had_ledger));
                 continue;
