--- a/tests/process_soak/ledger.rs
+++ b/tests/process_soak/ledger.rs
@@ -35,6 +35,8 @@
     Cue,
     Watch,
     Turn,
+    /// A turn that brings its complete prompt; only its tokens are kept.
+    Prompt,
 }
 
 impl CallKind {
@@ -43,7 +45,7 @@
     }
 
     pub fn is_stream(self) -> bool {
-        matches!(self, Self::Watch | Self::Turn)
+        matches!(self, Self::Watch | Self::Turn | Self::Prompt)
     }
 }
 
--- a/tests/process_soak/programs.rs
+++ b/tests/process_soak/programs.rs
@@ -19,6 +19,8 @@
 
 struct ProgramPlan {
     id: Rc<str>,
+    /// Otherwise each turn brings its complete prompt.
+    has_history: bool,
     budget: u64,
     /// Events of its longest turn.
     events: u64,
@@ -32,6 +34,7 @@
         let rng = &mut caller.rng;
         let (mean, branch_share) =
             if rng.random_bool(0.75) { (SHORT_TURNS, 0.05) } else { (LONG_TURNS, 0.25) };
+        let has_history = rng.random_bool(0.6);
         let is_endless = rng.random_bool(0.02);
         let turns = match is_endless {
             true => MAX_ENDLESS_TURNS,
@@ -50,6 +53,7 @@
         caller.sent += 1;
         Self {
             id: format!("{}p{}", caller.name, caller.sent).into(),
+            has_history,
             budget: budget_turns as u64 * events * EVENT_TOKENS,
             events,
             branches,
@@ -65,12 +69,13 @@
             return self.call_tool(CallKind::Watch, 60, events, 60).await;
         }
         let program = ProgramPlan::draw(self);
-        let mut previous = self.earlier_turn();
+        let mut previous = self.earlier_turn().filter(|_| program.has_history);
         for (number, is_branched) in program.branches.iter().enumerate() {
             let line = self.name.clone();
             let turn = self.take_site_turn(&program, &line, previous.as_ref()).await;
             let Some(turn) = turn else { return };
-            previous = Some(turn.clone()).filter(|turn| self.may_continue(turn));
+            previous =
+                Some(turn.clone()).filter(|turn| program.has_history && self.may_continue(turn));
             if *is_branched {
                 self.run_branches(&program, &turn).await;
             }
@@ -154,6 +159,7 @@
             _ => self.rng.random_range(2_000..9_000),
         };
         let input = format!("{}-{} {}", program.id, self.sent, "x".repeat(length));
+        let previous = previous.filter(|_| program.has_history);
         let history = previous.map_or("", |turn| &*turn.history).to_owned() + &input;
         let most = program.events * EVENT_TOKENS;
         let shared = xxh3_64(&[self.rng.random_range(0..3_u8)]);
@@ -178,7 +184,7 @@
         };
         let pause_ms = self.rng.random_range(60..180);
         let draft = CallDraft {
-            kind: CallKind::Turn,
+            kind: if program.has_history { CallKind::Turn } else { CallKind::Prompt },
             body: input.into(),
             headers,
             expected: history.into(),
@@ -188,7 +194,9 @@
             budget: Some(TurnBudget { program: program.id.clone(), budget: program.budget, most }),
         };
         let turn = self.run_turn(&draft).await?;
-        self.share(turn.clone());
+        if program.has_history {
+            self.share(turn.clone());
+        }
         Some(turn)
     }
 }
--- a/tests/process_soak/shape.rs
+++ b/tests/process_soak/shape.rs
@@ -101,7 +101,7 @@
     fn route_services(self, route: &str) -> &'static [&'static str] {
         match (self, route) {
             (Self::Plain, _) => &SERVICES,
-            (Self::Site, "turn" | "watch") => &SERVICES[..1],
+            (Self::Site, "turn" | "prompt" | "watch") => &SERVICES[..1],
             (Self::Site, _) => &SERVICES[1..],
         }
     }
@@ -120,7 +120,7 @@
     /// The manifest of this version, whose routes are drawn.
     pub fn manifest(self, version: u64, rng: &mut SmallRng) -> Value {
         let kinds = [("turn", "stream"), ("watch", "stream"), ("book", "unsafe"), ("read", "safe")];
-        let tools = [("cue", "unsafe")];
+        let tools = [("cue", "unsafe"), ("prompt", "stream")];
         let kinds = kinds.into_iter().chain(tools.into_iter().filter(|_| self.is_site()));
         let added = (0..rng.random_range(0..4)).map(|number| (format!("added-{number}"), "safe"));
         let names = kinds.map(|(name, kind)| (name.to_owned(), kind)).chain(added);
@@ -132,6 +132,9 @@
             let services = self.route_services(&name);
             route["timeout-ms"] = (timeout.as_millis() as u64).into();
             route["service"] = services[rng.random_range(0..services.len())].into();
+            if name == "prompt" {
+                route["retain-s"] = self.retention().as_secs().into();
+            }
             routes.push(route);
         }
         routes[0]["retained"] = true.into();
