Report a reset that a write was told of at the end of an answer

What callers saw: an engine answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The part reached the caller with the regular end of an answer. An idempotent call was not tried again.

Cause: the kernel reports a lost connection to one call only. While an upload is being written that may be the write, whose error was dropped, since an upstream may answer before it has read all. The next read then returns 0, as at an end in order, which is the only proof that an answer without a length is whole. Answers of the store and of peers are read by the same connection. Ruled out: heads and bodies with a length or in chunks, whose ends are marked (answer_cut_at_any_byte_is_never_whole).

Change: the connection keeps the error of a failed write, and an end of the stream after it is that error, wherever the stream is read. So the order of the calls no longer matters. A broken pipe is not kept: the kernel reports it only after the upstream has ended its stream, so what was received is whole.

Evidence: upstream_tests orders the calls, so that the write meets the reset; without the change it returned "200 whole: part", each time.

--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -10,6 +10,8 @@
 #[cfg(test)]
 mod pool_tests;
 mod upstream;
+#[cfg(test)]
+mod upstream_tests;
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -1,6 +1,6 @@
 //! Client connection to an upstream, the store or a peer.
 
-use std::io;
+use std::io::{self, ErrorKind::BrokenPipe};
 
 use actix_http::body::BodySize;
 use actix_http::error::{ParseError, PayloadError};
@@ -61,6 +61,8 @@
     /// Unsent parts of the request. An upstream may respond before it has read all of it.
     output: BytesMut,
     output_body: Bytes,
+    /// Failure of a write, which a later read does not report again.
+    write_error: Option<io::Error>,
     codec: Option<ClientCodec>,
     body: BodyState,
     keep_alive: bool,
@@ -75,6 +77,7 @@
             input: BytesMut::new(),
             output: BytesMut::new(),
             output_body: Bytes::new(),
+            write_error: None,
             codec: Some(ClientCodec::new(codec_config())),
             body: BodyState::Done,
             keep_alive: true,
@@ -198,7 +201,18 @@
     }
 
     /// Sends the rest of the request until input arrives. Returns 0 at the end of the stream.
+    ///
+    /// The kernel reports a lost connection to one call only, and then reads of it end like those of
+    /// a stream that was closed in order.
     async fn read_more(&mut self) -> io::Result<usize> {
+        let count = self.send_until_input().await?;
+        match self.write_error.take_if(|_| count == 0) {
+            Some(error) => Err(error),
+            None => Ok(count),
+        }
+    }
+
+    async fn send_until_input(&mut self) -> io::Result<usize> {
         let (mut reader, mut writer) = self.stream.split();
         loop {
             let is_head_sent = self.output.is_empty();
@@ -215,10 +229,12 @@
                     Ok(count) if is_head_sent => self.output_body.advance(count),
                     Ok(count) => self.output.advance(count),
                     // The upstream has stopped reading but may have sent a response.
-                    Err(_) => {
+                    Err(error) => {
                         self.output.clear();
                         self.output_body = Bytes::new();
                         self.keep_alive = false;
+                        // A broken pipe follows the end of the upstream's stream.
+                        self.write_error = Some(error).filter(|error| error.kind() != BrokenPipe);
                     }
                 },
             }
