Refuse answers with blanks between the name of a field and its colon

What callers saw: an engine sent an answer in whose head the name of a field ended in a blank or a tab. Callers got it as an answer, with the line passed on without the blank. Where the field was a length or a coding, it framed the body: callers got "a " of "a part", or a body decoded from chunks that the engine had not framed so.

Cause: the codec parses heads of responses with a parser that is told to accept blanks there, and drops them. Ruled out: blanks and control bytes elsewhere in a name, folded lines and lines without a colon, which the codec refuses.

Change: the connection checks each raw head, interim ones too, with the same parser in its strict form before the codec decodes it. Answers of the store and of peers are read by the same connection. A malformed head counts as before: `not_an_answer` in the log, a loss of its upstream, an attempt used; idempotent calls go to another upstream, others get 502.

A unit test asks for all 256 bytes at three places of a name that exactly the token characters are accepted.

--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -3,6 +3,9 @@
 //! The library's dispatcher and client pool are not used: they hide whether a caller has
 //! disconnected, which connection an attempt used, and whether bytes follow a response.
 
+mod answer_head;
+#[cfg(test)]
+mod answer_head_tests;
 mod caller;
 #[cfg(test)]
 mod caller_tests;
--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -13,6 +13,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
+use super::answer_head::check_head;
 use super::codec_config;
 
 /// Maximum size of a response head, interim responses included.
@@ -112,7 +113,10 @@
         loop {
             // Gone after a response that ended with the connection.
             let codec = self.codec.as_mut().ok_or(AnswerError::Ended)?;
-            let decoded = codec.decode(&mut self.input)?;
+            let decoded = match check_head(&self.input)? {
+                true => codec.decode(&mut self.input)?,
+                false => None,
+            };
             match decoded {
                 Some(head) if head.status.is_informational() => {}
                 Some(head) => {
