Refuse answers whose status is beyond those that are defined

What callers saw: on other systems, an answer of an engine in trouble whose status was 000. Here that case held: the codec refuses statuses below 100 and those that are not three digits, and the call ends as not answered (502, or another upstream if it may run twice).

The same question at the other end of the range did not hold: 600 to 999 reached callers as answers, though only 100 to 599 are statuses (RFC 9110, 15).

Change: the check of the raw head refuses them.

Evidence: tests/answer_heads.rs, answer_without_a_status_reaches_no_caller: 27 cases of 000, 001, 099 and others passed before; the 6 of 600 and 999 returned (600, "a part") and (999, "a part"). All 33 pass now.

--- a/src/gateway/http/answer_head.rs
+++ b/src/gateway/http/answer_head.rs
@@ -5,6 +5,8 @@
 
 /// As many fields as the codec accepts.
 const MAX_FIELDS: usize = 96;
+/// The codec accepts further ones, which have no meaning (RFC 9110, 15).
+const MAX_STATUS: u16 = 599;
 
 /// Returns whether the head at the start of `input` is complete.
 ///
@@ -12,6 +14,10 @@
 /// frames the body.
 pub(super) fn check_head(input: &[u8]) -> Result<bool, ParseError> {
     let mut fields = [EMPTY_HEADER; MAX_FIELDS];
-    let status = Response::new(&mut fields).parse(input)?;
-    Ok(matches!(status, Status::Complete(_)))
+    let mut response = Response::new(&mut fields);
+    let is_complete = matches!(response.parse(input)?, Status::Complete(_));
+    match response.code {
+        Some(status) if status > MAX_STATUS => Err(ParseError::Status),
+        _ => Ok(is_complete),
+    }
 }
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -75,6 +75,17 @@
     assert_unanswered(route, answer(start, "content-length: 6\r\n", "a part")).await;
 }
 
+/// Guards against an answer whose status is none.
+#[rstest]
+#[actix_rt::test]
+async fn answer_without_a_status_reaches_no_caller(
+    #[values("book", "read", "turn")] route: &str,
+    #[values("000", "001", "099", "20", "0200", "2OO", "+20", "-00", "", "600", "999")] status: &str,
+) {
+    let start = format!("HTTP/1.1 {status} X");
+    assert_unanswered(route, answer(&start, "content-length: 6\r\n", "a part")).await;
+}
+
 /// Guards against sound answers that are taken for broken ones.
 #[rstest]
 #[case::legal_names("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~9: a\r\ncontent-length: 5\r\n", "whole")]
