Read interim heads apart from the codec, and no answer in another protocol

What callers saw: nothing yet; found while looking at who decides that an answer has no body.

Cause: interim heads went through the codec that then reads the head of the answer. What they said of a body (a length, chunks, a switch of protocols) stayed there: a debug build fails an assertion of the codec, and the call ends with 502 internal_error. By reading, a release build goes on, and after a 101 takes an answer with a length for one without a body; that was not run.

Change: the check of the raw head tells interim heads, which are skipped without the codec. They frame nothing (RFC 9112, 6.3). A 101 is no answer, since no request asks for another protocol.

--- a/src/gateway/http/answer_head_tests.rs
+++ b/src/gateway/http/answer_head_tests.rs
@@ -2,7 +2,7 @@
 
 use rstest::rstest;
 
-use super::answer_head::check_head;
+use super::answer_head::{HeadKind, check_head};
 
 /// Guards against a name of a field that holds a blank, a control byte or a delimiter.
 #[rstest]
@@ -15,7 +15,7 @@
         let mut head = format!("HTTP/1.1 200 OK\r\n{before}").into_bytes();
         head.push(*byte);
         head.extend(format!("{after}: value\r\n\r\n").bytes());
-        matches!(check_head(&head), Ok(true))
+        matches!(check_head(&head), Ok(HeadKind::Final))
     };
     let accepted: Vec<u8> = (0..=u8::MAX).filter(accepts).collect();
     // An empty line ends the head, and a colon the name.
--- a/src/gateway/http/upstream.rs
+++ b/src/gateway/http/upstream.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::{Decoder, Encoder};
 
-use super::answer_head::check_head;
+use super::answer_head::{HeadKind, check_head};
 use super::codec_config;
 
 /// Maximum size of a response head, interim responses included.
@@ -113,17 +113,15 @@
         loop {
             // Gone after a response that ended with the connection.
             let codec = self.codec.as_mut().ok_or(AnswerError::Ended)?;
-            let decoded = match check_head(&self.input)? {
-                true => codec.decode(&mut self.input)?,
-                false => None,
-            };
-            match decoded {
-                Some(head) if head.status.is_informational() => {}
-                Some(head) => {
+            match check_head(&self.input)? {
+                // The codec would keep what it says of a body.
+                HeadKind::Interim { bytes } => self.input.advance(bytes),
+                HeadKind::Final => {
+                    let head = codec.decode(&mut self.input)?.ok_or(ParseError::Incomplete)?;
                     self.expect_body(&head);
                     return Ok(head);
                 }
-                None => match self.read_more().await? {
+                HeadKind::Incomplete => match self.read_more().await? {
                     0 => return Err(AnswerError::Ended),
                     count => received += count,
                 },
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -80,12 +80,41 @@
 #[actix_rt::test]
 async fn answer_without_a_status_reaches_no_caller(
     #[values("book", "read", "turn")] route: &str,
-    #[values("000", "001", "099", "20", "0200", "2OO", "+20", "-00", "", "600", "999")] status: &str,
+    #[values("000", "001", "099", "20", "0200", "2OO", "+20", "-00", "", "600", "999")]
+    status: &str,
 ) {
     let start = format!("HTTP/1.1 {status} X");
     assert_unanswered(route, answer(&start, "content-length: 6\r\n", "a part")).await;
 }
 
+/// Guards against an answer in another protocol, for which no request asks.
+#[rstest]
+#[case::alone("HTTP/1.1 101 Switching Protocols")]
+#[case::before_an_answer("HTTP/1.1 101 Switching Protocols\r\nupgrade: x\r\n\r\nHTTP/1.1 200 OK")]
+#[actix_rt::test]
+async fn answer_in_another_protocol_reaches_no_caller(
+    #[values("book", "read", "turn")] route: &str,
+    #[case] start: &str,
+) {
+    assert_unanswered(route, answer(start, "content-length: 6\r\n", "a part")).await;
+}
+
+/// Guards against an answer that is read by what an interim head before it says.
+#[rstest]
+#[case::length("content-length: 3\r\n")]
+#[case::chunks("transfer-encoding: chunked\r\n")]
+#[case::close("connection: close\r\n")]
+#[actix_rt::test]
+async fn interim_head_does_not_frame_the_answer(
+    #[values("book", "read")] route: &str,
+    #[values("content-length: 5\r\n", "")] fields: &str,
+    #[case] interim: &str,
+) {
+    let start = format!("HTTP/1.1 103 Early Hints\r\n{interim}\r\nHTTP/1.1 200 OK");
+    let answer = call_near(route, answer(&start, fields, "whole")).await;
+    assert_eq!((answer.status(), answer.text().as_str(), answer.whole), (200, "whole", true));
+}
+
 /// Guards against sound answers that are taken for broken ones.
 #[rstest]
 #[case::legal_names("HTTP/1.1 200 OK", "!#$%&'*+-.^_`|~9: a\r\ncontent-length: 5\r\n", "whole")]
