Move the reader of responses to util

No change of behaviour: the client side of a connection, its checks of heads and their tests leave the gateway's folder, so that the HTTP client of `serve`, `client` and `bench` can read responses by it too. UpstreamConnection is ClientConnection now, the counterpart of ServerConnection beside it.

--- a/src/gateway/attempt/exchange.rs
+++ b/src/gateway/attempt/exchange.rs
@@ -7,7 +7,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::call::CallContext;
 use crate::gateway::dialect::AnswerHead;
-use crate::gateway::http::{AnswerError, UpstreamConnection};
+use crate::gateway::http::{AnswerError, ClientConnection};
 
 const MAX_FOREIGN_ANSWERS: usize = 3;
 
@@ -15,7 +15,7 @@
 /// accepted only if it says that the request did not run.
 pub(super) async fn exchange(
     gateway: &Gateway,
-    connection: &mut UpstreamConnection,
+    connection: &mut ClientConnection,
     call: &CallContext,
     head: RequestHead,
 ) -> Result<(ResponseHead, AnswerHead), AnswerError> {
@@ -59,7 +59,7 @@
 }
 
 /// How an attempt ended whose answer was read to its end.
-pub(crate) fn answer_end(connection: &UpstreamConnection, status: StatusCode) -> AttemptEnd {
+pub(crate) fn answer_end(connection: &ClientConnection, status: StatusCode) -> AttemptEnd {
     let status = status.as_u16();
     match connection.ended_by_close() {
         true => AttemptEnd::AnsweredUntilClose { status },
--- a/src/gateway/attempt/guard.rs
+++ b/src/gateway/attempt/guard.rs
@@ -13,7 +13,7 @@
 use crate::core::routing::{RouteKind, ServiceName};
 use crate::core::upstreams::{AttemptResult, AttemptTiming, UpstreamChoice};
 use crate::gateway::call::CallContext;
-use crate::gateway::http::UpstreamConnection;
+use crate::gateway::http::ClientConnection;
 use crate::gateway::repeats::{WorkAttempt, WorkTarget};
 use crate::gateway::{Gateway, GatewayMechanism};
 
@@ -105,7 +105,7 @@
     /// Returns the connection of an answer to the pool.
     pub(crate) fn release_connection(
         &self,
-        connection: UpstreamConnection,
+        connection: ClientConnection,
         address: &str,
         status: StatusCode,
         keep_alive: Option<Duration>,
@@ -121,7 +121,7 @@
     /// error.
     fn watch_last_words(
         &self,
-        mut connection: UpstreamConnection,
+        mut connection: ClientConnection,
         address: Box<str>,
         keep_alive: Option<Duration>,
     ) {
--- a/src/gateway/attempt/mod.rs
+++ b/src/gateway/attempt/mod.rs
@@ -20,7 +20,7 @@
 
 use super::call::CallContext;
 use super::dialect::AnswerHead;
-use super::http::UpstreamConnection;
+use super::http::ClientConnection;
 use super::refusal::Refusal;
 use super::{Gateway, GatewayMechanism};
 use crate::core::admission::{ExpectedStart, retry_delay};
@@ -52,7 +52,7 @@
 
 pub(crate) struct UpstreamAnswer {
     pub(crate) choice: UpstreamChoice,
-    pub(crate) connection: UpstreamConnection,
+    pub(crate) connection: ClientConnection,
     pub(crate) head: ResponseHead,
     pub(crate) info: AnswerHead,
     /// Buffered body of an idempotent request; otherwise read from the connection.
--- a/src/gateway/attempt/send.rs
+++ b/src/gateway/attempt/send.rs
@@ -17,7 +17,7 @@
 use crate::gateway::Gateway;
 use crate::gateway::call::CallContext;
 use crate::gateway::dialect::AttemptHead;
-use crate::gateway::http::{AnswerError, UpstreamConnection};
+use crate::gateway::http::{AnswerError, ClientConnection};
 use crate::gateway::memory::BodyBuffer;
 use crate::gateway::refusal::Refusal;
 
@@ -136,7 +136,7 @@
     async fn buffer_body(
         &self,
         call: &CallContext,
-        connection: &mut UpstreamConnection,
+        connection: &mut ClientConnection,
     ) -> Result<Option<BufferedBody>, AnswerError> {
         if call.route.kind != RouteKind::Idempotent {
             return Ok(None);
--- a/src/gateway/http/mod.rs
+++ b/src/gateway/http/mod.rs
@@ -3,18 +3,12 @@
 //! The library's dispatcher and client pool are not used: they hide whether a caller has
 //! disconnected, which connection an attempt used, and whether bytes follow a response.
 
-mod answer_head;
-#[cfg(test)]
-mod answer_head_tests;
 mod caller;
 #[cfg(test)]
 mod caller_tests;
 mod pool;
 #[cfg(test)]
 mod pool_tests;
-mod upstream;
-#[cfg(test)]
-mod upstream_tests;
 
 use std::io;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -23,12 +17,12 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 
+pub(crate) use crate::util::client_connection::{AnswerError, ClientConnection};
 pub(crate) use crate::util::http_connection::codec_config;
 pub(crate) use caller::{
     AnswerState, CallerReader, CallerRequest, CallerWriter, CloseReason, ReadError, split_caller,
 };
 pub(crate) use pool::{ConnectionPool, ExchangeError};
-pub(crate) use upstream::{AnswerError, UpstreamConnection};
 
 /// Limit for sent bytes to be acknowledged. Links take a few milliseconds, and a machine that is
 /// slow or loses packets retransmits within a second.
--- a/src/gateway/http/pool.rs
+++ b/src/gateway/http/pool.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::{Instant, timeout};
 
-use super::{AnswerError, UpstreamConnection, detect_dead_peer};
+use super::{AnswerError, ClientConnection, detect_dead_peer};
 use crate::gateway::latency::LatencyEstimate;
 
 /// A lost SYN is retransmitted only after a second, so a retry is faster than waiting.
@@ -66,7 +66,7 @@
 }
 
 struct IdleConnection {
-    connection: UpstreamConnection,
+    connection: ClientConnection,
     expires_at: Instant,
     used_at: Instant,
 }
@@ -89,11 +89,11 @@
 
 impl ConnectionPool {
     /// Takes an open idle connection, the most recently used one first.
-    pub(crate) fn take(&self, address: &str) -> Option<UpstreamConnection> {
+    pub(crate) fn take(&self, address: &str) -> Option<ClientConnection> {
         self.take_used_since(address, None)
     }
 
-    fn take_used_since(&self, address: &str, since: Option<Instant>) -> Option<UpstreamConnection> {
+    fn take_used_since(&self, address: &str, since: Option<Instant>) -> Option<ClientConnection> {
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(address)?;
         let now = Instant::now();
@@ -111,7 +111,7 @@
         self.idle.borrow().get(address).is_some_and(|connections| !connections.is_empty())
     }
 
-    pub(crate) async fn connect(&self, address: &str) -> Result<UpstreamConnection, ConnectError> {
+    pub(crate) async fn connect(&self, address: &str) -> Result<ClientConnection, ConnectError> {
         self.connect_within(address, CONNECT_TIMEOUT).await
     }
 
@@ -119,7 +119,7 @@
         &self,
         address: &str,
         limit: Duration,
-    ) -> Result<UpstreamConnection, ConnectError> {
+    ) -> Result<ClientConnection, ConnectError> {
         let parsed: SocketAddr =
             address.parse().map_err(|_| ConnectError::BadAddress { address: address.into() })?;
         let started = Instant::now();
@@ -130,7 +130,7 @@
         connect_time.record_since(started);
         self.connect_time.set(connect_time);
         detect_dead_peer(&stream);
-        Ok(UpstreamConnection::new(stream))
+        Ok(ClientConnection::new(stream))
     }
 
     /// Returns an idle or a new connection for a request that can fail over to another upstream.
@@ -139,7 +139,7 @@
         &self,
         address: &str,
         tried: u32,
-    ) -> Result<UpstreamConnection, ConnectError> {
+    ) -> Result<ClientConnection, ConnectError> {
         self.record_idle_time(address);
         let is_rare = self.idle_time.get().mean() > RARE_USE_INTERVAL;
         let since = Instant::now().checked_sub(MAX_REUSE_AGE).filter(|_| is_rare);
@@ -153,7 +153,7 @@
         self.connect_within(address, limit.min(CONNECT_TIMEOUT)).await
     }
 
-    pub(crate) async fn get(&self, address: &str) -> Result<UpstreamConnection, ConnectError> {
+    pub(crate) async fn get(&self, address: &str) -> Result<ClientConnection, ConnectError> {
         match self.take(address) {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
@@ -174,7 +174,7 @@
     pub(crate) fn put(
         &self,
         address: &str,
-        connection: UpstreamConnection,
+        connection: ClientConnection,
         keep_alive: Option<Duration>,
     ) {
         let keep_alive = keep_alive
--- a/src/gateway/http/upstream.rs
+++ b/src/util/client_connection.rs
@@ -1,4 +1,6 @@
-//! Client connection to an upstream, the store or a peer.
+//! Client side of one HTTP/1.1 connection, on top of the `actix-http` codec.
+//!
+//! All responses are read here, whoever sends them.
 
 use std::io::{self, ErrorKind::BrokenPipe};
 
@@ -14,7 +16,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 
 use super::answer_head::{HeadKind, check_head};
-use super::codec_config;
+use super::http_connection::codec_config;
 
 /// Maximum size of a response head, interim responses included.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
@@ -72,7 +74,7 @@
     headers.get(CONTENT_LENGTH)?.to_str().ok()?.trim().parse().ok()
 }
 
-pub(crate) struct UpstreamConnection {
+pub(crate) struct ClientConnection {
     stream: TcpStream,
     input: BytesMut,
     /// Unsent parts of the request. An upstream may respond before it has read all of it.
@@ -87,7 +89,7 @@
     ended_by_close: bool,
 }
 
-impl UpstreamConnection {
+impl ClientConnection {
     pub(crate) fn new(stream: TcpStream) -> Self {
         Self {
             stream,
@@ -103,7 +105,7 @@
         }
     }
 
-    /// Queues a request, which [`UpstreamConnection::head`] then sends.
+    /// Queues a request, which [`ClientConnection::head`] then sends.
     pub(crate) fn request(&mut self, head: RequestHead, body: Bytes) -> Result<(), AnswerError> {
         self.head_only = head.method == Method::HEAD;
         let bare = matches!(head.method, Method::GET | Method::HEAD | Method::DELETE);
--- a/src/gateway/http/upstream_tests.rs
+++ b/src/util/client_connection_tests.rs
@@ -1,4 +1,4 @@
-//! Tests of connections to upstreams whose answers end in an unusual way.
+//! Tests of client connections whose responses end in an unusual way.
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, TcpListener, TcpStream};
@@ -10,7 +10,7 @@
 use socket2::SockRef;
 use tokio::time::{sleep, timeout};
 
-use super::UpstreamConnection;
+use super::client_connection::ClientConnection;
 
 /// More than the buffers of a connection hold.
 const UPLOAD_BYTES: usize = 32 * 1024 * 1024;
@@ -19,12 +19,12 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// A connection that sends a request, and its upstream.
-async fn start_request(method: Method, body: Bytes) -> (UpstreamConnection, TcpStream) {
+async fn start_request(method: Method, body: Bytes) -> (ClientConnection, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
     let address = listener.local_addr().expect("the listener is bound");
     let stream = tokio::net::TcpStream::connect(address).await.expect("the address listens");
     let (upstream, _) = listener.accept().expect("the connection arrives");
-    let mut connection = UpstreamConnection::new(stream);
+    let mut connection = ClientConnection::new(stream);
     let mut head = RequestHead::default();
     head.method = method;
     connection.request(head, body).expect("a request");
--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -1,5 +1,11 @@
 //! I/O helpers shared by the other modules.
 
+mod answer_head;
+#[cfg(test)]
+mod answer_head_tests;
+pub(crate) mod client_connection;
+#[cfg(test)]
+mod client_connection_tests;
 pub(crate) mod framed;
 pub(crate) mod http_client;
 pub(crate) mod http_connection;
