--- a/src/util/mod.rs
+++ b/src/util/mod.rs
@@ -8,6 +8,8 @@
 mod client_connection_tests;
 pub(crate) mod framed;
 pub(crate) mod http_client;
+#[cfg(test)]
+mod http_client_tests;
 pub(crate) mod http_connection;
 pub(crate) mod http_server;
 pub(crate) mod line_budget;
