--- a/src/util/answer_head_tests.rs
+++ b/src/util/answer_head_tests.rs
@@ -9,8 +9,7 @@
 #[case::first("", "ame")]
 #[case::within("n", "me")]
 #[case::last("nam", "")]
-#[actix_rt::test]
-async fn name_of_a_field_is_a_token(#[case] before: &str, #[case] after: &str) {
+fn name_of_a_field_is_a_token(#[case] before: &str, #[case] after: &str) {
     let accepts = |byte: &u8| {
         let mut head = format!("HTTP/1.1 200 OK\r\n{before}").into_bytes();
         head.push(*byte);
--- a/tests/answer_heads.rs
+++ b/tests/answer_heads.rs
@@ -1,4 +1,4 @@
-//! Upstreams in trouble, whose answers have malformed heads.
+//! Upstreams that send malformed or unusual heads of answers.
 
 mod platform_standin;
 
@@ -75,10 +75,10 @@
     assert_unanswered(route, answer(start, "content-length: 6\r\n", "a part")).await;
 }
 
-/// Guards against an answer whose status is none.
+/// Guards against an answer whose status is not defined.
 #[rstest]
 #[actix_rt::test]
-async fn answer_without_a_status_reaches_no_caller(
+async fn answer_with_an_undefined_status_reaches_no_caller(
     #[values("book", "read", "turn")] route: &str,
     #[values("000", "001", "099", "20", "0200", "2OO", "+20", "-00", "", "600", "999")]
     status: &str,
--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -1,4 +1,4 @@
-//! Upstreams in trouble, whose answers must not reach callers as whole ones.
+//! Upstreams that answer an upload before they have read it, and end the connection in different ways.
 
 mod platform_standin;
 
@@ -29,12 +29,12 @@
 }
 
 /// An upstream that answers each upload before it has read it.
-struct HastyEngine {
+struct EarlyEngine {
     address: String,
     seen: Arc<AtomicUsize>,
 }
 
-impl HastyEngine {
+impl EarlyEngine {
     fn start(status: u16, fields_and_body: &'static str, end: UploadEnd) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("listener is bound").to_string();
@@ -94,12 +94,12 @@
 }
 
 /// A gateway that accepts large uploads, in front of this engine.
-async fn deploy_before(engine: &HastyEngine) -> Deployment {
+async fn deploy_before(engine: &EarlyEngine) -> Deployment {
     let mut deployment = Deployment::start(0, 0).await;
     let mut manifest = manifest(2, &default_routes());
     manifest["limits"]["max-body-bytes"] = (2 * UPLOAD_BYTES).into();
     deployment.store.put("op", "config", &manifest);
-    deployment.list_engine("hasty", &engine.address, "ready");
+    deployment.list_engine("early", &engine.address, "ready");
     deployment.add_gateway(0).await;
     deployment
 }
@@ -115,7 +115,7 @@
 }
 
 /// Uploads to this engine, and returns the whole answers that are its own.
-async fn whole_answers(engine: &HastyEngine, route: &str) -> Vec<String> {
+async fn whole_answers(engine: &EarlyEngine, route: &str) -> Vec<String> {
     let deployment = deploy_before(engine).await;
     let mut whole = Vec::new();
     for number in 0..UPLOADS {
@@ -139,7 +139,7 @@
     #[case] route: &str,
     #[case] fields_and_body: &'static str,
 ) {
-    let engine = HastyEngine::start(200, fields_and_body, UploadEnd::Reset);
+    let engine = EarlyEngine::start(200, fields_and_body, UploadEnd::Reset);
     assert_eq!(whole_answers(&engine, route).await, [""; 0]);
 }
 
@@ -157,6 +157,6 @@
     #[case] end: UploadEnd,
     #[case] expected: &str,
 ) {
-    let engine = HastyEngine::start(status, fields_and_body, end);
+    let engine = EarlyEngine::start(status, fields_and_body, end);
     assert_eq!(whole_answers(&engine, route).await, [expected; UPLOADS]);
 }
