--- a/tests/broken_answers.rs
+++ b/tests/broken_answers.rs
@@ -131,15 +131,17 @@
 /// Guards against the part of an answer without a length that an upstream sent before it reset the
 /// connection, which reaches the caller as a whole answer if the upload was still being written.
 #[rstest]
-#[case::forwarded("book", "\r\na part")]
-#[case::buffered("read", "\r\na part")]
-#[case::event_stream("book", "content-type: text/event-stream\r\n\r\nid: 1\ndata: w1\n\n")]
+#[case::forwarded("book", 200, "\r\na part")]
+#[case::buffered("read", 200, "\r\na part")]
+#[case::refused("book", 413, "\r\ntoo")]
+#[case::event_stream("book", 200, "content-type: text/event-stream\r\n\r\nid: 1\ndata: w1\n\n")]
 #[actix_rt::test]
 async fn answer_that_is_reset_during_the_upload_is_never_whole(
     #[case] route: &str,
+    #[case] status: u16,
     #[case] fields_and_body: &'static str,
 ) {
-    let engine = EarlyEngine::start(200, fields_and_body, UploadEnd::Reset);
+    let engine = EarlyEngine::start(status, fields_and_body, UploadEnd::Reset);
     assert_eq!(whole_answers(&engine, route).await, [""; 0]);
 }
 
